--- /dev/null
+++ b/adapter/settings_parser.cpp
@@ -0,0 +1,237 @@
+#include "settings_parser.hpp"
+
+#include <charconv>
+#include <cmath>
+#include <functional>
+#include <limits>
+#include <map>
+
+namespace paddlestand::wire {
+namespace {
+
+constexpr std::size_t most_items = 4096;  // more classes, kinds or tenants than this are taken for damage
+
+class Reader {
+ public:
+  explicit Reader(std::string_view text) {
+    while (!text.empty()) {
+      const auto end = text.find('\n');
+      std::string_view line = text.substr(0, end);
+      text = end == std::string_view::npos ? std::string_view{} : text.substr(end + 1);
+      if (!line.empty() && line.back() == '\r') line.remove_suffix(1);
+      if (line.empty()) continue;
+      const auto equals = line.find('=');
+      if (equals == std::string_view::npos) {
+        complain("settings line without '=': " + std::string(line.substr(0, 80)));
+        continue;
+      }
+      values_.insert_or_assign(std::string(line.substr(0, equals)), std::string(line.substr(equals + 1)));
+    }
+  }
+
+  [[nodiscard]] bool has(const std::string& key) const { return values_.contains(key); }
+  [[nodiscard]] const std::string& problem() const { return problem_; }
+
+  std::string text(const std::string& key) const {
+    const auto found = values_.find(key);
+    return found == values_.end() ? std::string{} : found->second;
+  }
+
+  template <typename T>
+  T number(const std::string& key, T otherwise = T{}) {
+    const auto found = values_.find(key);
+    return found == values_.end() ? otherwise : parse<T>(key, found->second, otherwise);
+  }
+
+  template <typename T>
+  T integer(const std::string& key, T otherwise = T{}) {
+    const double value = number<double>(key, static_cast<double>(otherwise));
+    if (!std::isfinite(value) || value < 0 || value >= static_cast<double>(std::numeric_limits<T>::max())) {
+      complain("settings value out of range: " + key);
+      return otherwise;
+    }
+    return static_cast<T>(value);
+  }
+
+  Duration time(const std::string& key) { return Duration{integer<std::int64_t>(key)}; }
+
+  bool flag(const std::string& key, bool otherwise = false) {
+    const auto found = values_.find(key);
+    return found == values_.end() ? otherwise : parse_flag(key, found->second);
+  }
+
+  std::vector<std::string> list(const std::string& key) const {
+    std::vector<std::string> items;
+    std::string_view rest =
+        text(key).empty() ? std::string_view{} : std::string_view(values_.find(key)->second);
+    while (!rest.empty()) {
+      const auto comma = rest.find(',');
+      items.emplace_back(rest.substr(0, comma));
+      rest = comma == std::string_view::npos ? std::string_view{} : rest.substr(comma + 1);
+    }
+    return items;
+  }
+
+  std::vector<double> numbers(const std::string& key) {
+    std::vector<double> items;
+    for (const auto& item : list(key)) items.push_back(parse<double>(key, item, 0.0));
+    return items;
+  }
+
+  std::vector<bool> flags(const std::string& key) {
+    std::vector<bool> items;
+    for (const auto& item : list(key)) items.push_back(parse_flag(key, item));
+    return items;
+  }
+
+  template <typename T>
+  T choice(const std::string& key, const std::map<std::string, T>& words, T otherwise) {
+    if (!has(key)) return otherwise;
+    const auto found = words.find(text(key));
+    if (found != words.end()) return found->second;
+    complain("settings value not understood: " + key + "=" + text(key).substr(0, 80));
+    return otherwise;
+  }
+
+  std::optional<std::vector<std::uint32_t>> places(const std::string& key) {
+    if (!has(key)) return std::nullopt;
+    std::vector<std::uint32_t> items;
+    for (const double item : numbers(key)) {
+      if (item < 0 || item > 65535) {
+        complain("settings value out of range: " + key);
+      } else {
+        items.push_back(static_cast<std::uint32_t>(item));
+      }
+    }
+    return items;
+  }
+
+  std::size_t count(const std::string& key) {
+    const auto items = integer<std::size_t>(key + ".count");
+    if (items <= most_items) return items;
+    complain("settings count too large: " + key);
+    return 0;
+  }
+
+  void complain(std::string text) {
+    if (problem_.empty()) problem_ = std::move(text);
+  }
+
+ private:
+  template <typename T>
+  T parse(const std::string& key, const std::string& value, T otherwise) {
+    T result{};
+    const auto [end, error] = std::from_chars(value.data(), value.data() + value.size(), result);
+    if (error == std::errc{} && end == value.data() + value.size()) return result;
+    complain("settings value is no number: " + key + "=" + value.substr(0, 80));
+    return otherwise;
+  }
+
+  bool parse_flag(const std::string& key, const std::string& value) {
+    if (value == "true" || value == "1") return true;
+    if (value != "false" && value != "0") {
+      complain("settings value is neither true nor false: " + key + "=" + value.substr(0, 80));
+    }
+    return false;
+  }
+
+  std::map<std::string, std::string> values_;
+  std::string problem_;
+};
+
+template <typename T>
+T item_or(const std::vector<T>& items, std::size_t index, T otherwise) {
+  return index < items.size() ? items[index] : otherwise;
+}
+
+ClassSettings read_class(Reader& in, std::size_t index) {
+  const std::string at = "classes." + std::to_string(index) + ".";
+  ClassSettings out;
+  out.name = in.text(at + "name");
+  out.aim = in.time(at + "aim_ns");
+  out.aim_stretch = in.number<double>(at + "aim_stretch");
+  out.deadline = in.time(at + "deadline_ns");
+  out.worth = in.number<double>(at + "gain");
+  out.late_worth = in.number<double>(at + "late_value");
+  // A word that is not known counts as the strictest kind.
+  out.repeat = in.choice<Repeat>(
+      at + "repeat", {{"pure", Repeat::safe}, {"token", Repeat::keyed}, {"side_effect", Repeat::unsafe}},
+      Repeat::unsafe);
+  out.key_scope = in.choice<KeyScope>(
+      at + "key_scope", {{"all", KeyScope::all}, {"zone", KeyScope::zone}, {"cell", KeyScope::cell}},
+      KeyScope::cell);
+  out.key_window = in.time(at + "key_ttl_ns");
+  out.in_turn = in.flag(at + "in_turn");
+  out.streamed = in.flag(at + "stream");
+  out.allowed_zones = in.places(at + "areas_allowed");
+  out.allowed_kinds = in.places(at + "flavors_only");
+  return out;
+}
+
+}  // namespace
+
+std::variant<ParsedSettings, std::string> parse_settings(std::string_view text) {
+  Reader in(text);
+  ParsedSettings parsed;
+  Settings& out = parsed.settings;
+  out.instances = in.integer<std::uint32_t>("balancers");
+  out.position = in.integer<std::uint32_t>("position");
+  out.zone = in.integer<std::uint32_t>("az");
+  out.clock_step = in.time("granularity_ns");
+
+  const auto threads = in.numbers("family_info.class_threads");
+  const auto writes = in.flags("family_info.writes_tables");
+  const auto waits = in.flags("family_info.class_waits");
+  for (std::size_t i = 0, n = in.count("classes"); i < n; ++i) {
+    ClassSettings item = read_class(in, i);
+    item.threads = item_or(threads, i, 1.0);
+    item.writes_tables = item_or<bool>(writes, i, false);
+    item.waits_for_writers = item_or<bool>(waits, i, false);
+    out.classes.push_back(std::move(item));
+  }
+
+  const auto cores = in.numbers("family_info.kind_cores");
+  const auto memory = in.numbers("family_info.size_mb");
+  for (std::size_t i = 0; i < std::max(cores.size(), memory.size()); ++i) {
+    out.kinds.push_back({item_or(cores, i, 0.0), item_or(memory, i, 0.0)});
+  }
+  for (std::size_t i = 0, n = in.count("tenants"); i < n; ++i) {
+    const std::string at = "tenants." + std::to_string(i) + ".";
+    out.tenants.push_back({in.text(at + "name"), in.number<double>(at + "quota_per_s")});
+  }
+
+  out.fleet_by_request = in.text("membership_mode") == "ask";
+  out.grants_heeded = in.flag("family_info.grants");
+  out.priorities_heeded = in.flag("family_info.takes_priority");
+  out.answers_tell_cost = in.flag("family_info.tells_cost");
+  out.largest_grant_share = in.number<double>("family_info.max_grant_share");
+  out.when_memory_short = in.choice<Shortage>("family_info.on_shortage",
+                                              {{"line_up", Shortage::wait_in_line},
+                                               {"cut", Shortage::cut_grant},
+                                               {"overcommit", Shortage::overcommit}},
+                                              Shortage::wait_in_line);
+  out.note_period = in.time("family_info.note_period_ns");
+  out.may_cancel = in.flag("permissions.cancel");
+  out.may_probe = in.flag("permissions.probes");
+  out.may_advise_retry = in.flag("permissions.retry_after");
+  out.may_run_twice_at_once = in.flag("permissions.parallel_tries");
+  out.most_attempts = in.integer<std::uint32_t>("permissions.max_attempts");
+  out.longest_retry_advice = in.time("permissions.max_retry_after_ns");
+  out.answer_slack = in.time("rules.answer_slack_ns");
+  out.drain_grace = in.time("rules.drain_grace_ns");
+  out.cold_share = in.number<double>("rules.cold_from");
+  out.cold_time = in.time("rules.cold_ns");
+  out.fall_multiple = in.number<double>("rules.tip_multiple");
+  out.fall_window = in.time("rules.fall_ns");
+  out.order_settle = in.time("rules.order_settle_ns");
+  if (in.has("rules.extra_floor") || in.has("rules.repeat_ratio") || in.has("rules.look_back_ns")) {
+    out.attempt_budget =
+        AttemptBudget{in.number<double>("rules.extra_floor"), in.number<double>("rules.repeat_ratio"),
+                      in.time("rules.look_back_ns")};
+  }
+  parsed.report_names = in.list("report.names");
+  if (!in.problem().empty()) return in.problem();
+  return parsed;
+}
+
+}  // namespace paddlestand::wire
--- /dev/null
+++ b/adapter/settings_parser.hpp
@@ -0,0 +1,21 @@
+// Reads the path=value settings of a `provision` record.
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "paddlestand/workload_manager.hpp"
+
+namespace paddlestand::wire {
+
+struct ParsedSettings {
+  Settings settings;
+  std::vector<std::string> report_names;  // the order of the values in a load report
+};
+
+// The settings, or a plain message on what cannot be read. Unknown keys are skipped.
+std::variant<ParsedSettings, std::string> parse_settings(std::string_view text);
+
+}  // namespace paddlestand::wire
--- /dev/null
+++ b/adapter/wire_host.cpp
@@ -0,0 +1,360 @@
+#include "wire_host.hpp"
+
+#include <algorithm>
+#include <bit>
+#include <concepts>
+#include <cstring>
+#include <limits>
+#include <optional>
+#include <utility>
+
+#include "settings_parser.hpp"
+
+namespace paddlestand::wire {
+namespace {
+
+static_assert(std::endian::native == std::endian::little, "the wire is little-endian");
+
+enum class EventCode : std::uint8_t {
+  status_note = 1,
+  timeout_fired = 2,
+  result = 3,
+  under_way = 4,
+  datagram = 5,
+  snapshot_rows = 6,
+  call = 7,
+  provision = 8,
+  roster_change = 9,
+  check_result = 10,
+  kill = 11,
+  left = 12,
+};
+
+enum class ActionCode : std::uint8_t {
+  reject = 1,
+  recall = 2,
+  send = 5,
+  set_terms = 6,
+  trace = 7,
+  inspect = 8,
+  watch = 9,
+  fault = 10,
+  error = 12,
+  notify_me = 13,
+};
+
+constexpr std::size_t most_text_bytes = 65535;
+constexpr std::size_t list_entry_bytes = 22;
+
+class Input {
+ public:
+  explicit Input(std::span<const std::uint8_t> bytes) : bytes_(bytes) {}
+
+  template <typename T>
+  T take() {
+    T value{};
+    const auto raw = take_bytes(sizeof(T));
+    std::memcpy(&value, raw.data(), sizeof(T));
+    return value;
+  }
+
+  std::span<const std::uint8_t> take_bytes(std::size_t count) {
+    if (count > bytes_.size() - at_) throw MalformedFrame("frame ends inside a record");
+    const auto part = bytes_.subspan(at_, count);
+    at_ += count;
+    return part;
+  }
+
+  Duration take_time() { return clamp_time(take<std::uint64_t>()); }
+
+  static Duration clamp_time(std::uint64_t value) {
+    constexpr auto most = static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max());
+    return Duration{static_cast<std::int64_t>(std::min(value, most))};
+  }
+
+  [[nodiscard]] bool at_end() const { return at_ == bytes_.size(); }
+  [[nodiscard]] std::size_t left() const { return bytes_.size() - at_; }
+
+ private:
+  std::span<const std::uint8_t> bytes_;
+  std::size_t at_ = 0;
+};
+
+class Output {
+ public:
+  template <typename T>
+  void put(T value) {
+    const auto at = bytes_.size();
+    bytes_.resize(at + sizeof(T));
+    std::memcpy(bytes_.data() + at, &value, sizeof(T));
+  }
+
+  void start(ActionCode code, std::uint16_t who) {
+    put(static_cast<std::uint8_t>(code));
+    put(who);
+  }
+
+  void put_text(std::string_view text) {
+    text = text.substr(0, most_text_bytes);
+    put(static_cast<std::uint16_t>(text.size()));
+    bytes_.insert(bytes_.end(), text.begin(), text.end());
+  }
+
+  std::vector<std::uint8_t> finish() {
+    const auto length = static_cast<std::uint32_t>(bytes_.size());
+    std::memcpy(bytes_.data(), &length, sizeof(length));
+    return std::move(bytes_);
+  }
+
+ private:
+  std::vector<std::uint8_t> bytes_;
+};
+
+void write(Output& out, std::uint16_t who, const Send& action) {
+  out.start(ActionCode::send, who);
+  out.put(action.request);
+  out.put(static_cast<std::int64_t>(action.time_out.count()));
+  out.put(action.engine);
+}
+void write(Output& out, std::uint16_t who, const Cancel& action) {
+  out.start(ActionCode::recall, who);
+  out.put(action.request);
+  out.put(static_cast<std::uint16_t>(action.attempt));
+}
+void write(Output& out, std::uint16_t who, const Refuse& action) {
+  out.start(ActionCode::reject, who);
+  out.put(action.request);
+  out.put(static_cast<std::uint64_t>(action.retry_after.count()));
+}
+void write(Output& out, std::uint16_t who, const Fail& action) {
+  out.start(ActionCode::error, who);
+  out.put(action.request);
+}
+void write(Output& out, std::uint16_t who, const SetTimer& action) {
+  out.start(ActionCode::notify_me, who);
+  out.put(action.token);
+  out.put(static_cast<std::uint64_t>(action.after.count()));
+}
+void write(Output& out, std::uint16_t who, const Probe& action) {
+  out.start(ActionCode::inspect, who);
+  out.put(action.engine);
+}
+void write(Output& out, std::uint16_t who, const SetTerms& action) {
+  out.start(ActionCode::set_terms, who);
+  out.put(action.request);
+  out.put(action.priority);
+  out.put(static_cast<float>(action.memory_mb));
+}
+void write(Output& out, std::uint16_t who, const SubscribeFleet&) {
+  out.start(ActionCode::watch, who);
+  out.put(std::uint8_t{1});
+}
+void write(Output& out, std::uint16_t who, const Log& action) {
+  out.start(ActionCode::trace, who);
+  out.put_text(action.text);
+}
+
+Result read_result(std::uint16_t code) {
+  switch (code) {
+    case 200: return Result::served;
+    case 502: return Result::engine_error;
+    case 429: return Result::full;
+    case 408: return Result::timed_out;
+    case 521: return Result::connect_failed;
+    case 520: return Result::reset;
+    case 444: return Result::cancelled;
+    case 409: return Result::moot;
+    default: throw MalformedFrame("unknown completion code " + std::to_string(code));
+  }
+}
+
+EngineEntry read_entry(Input& in) {
+  EngineEntry entry;
+  entry.kind = in.take<std::uint16_t>();
+  const auto condition = in.take<std::uint8_t>();
+  if (condition > 2) throw MalformedFrame("unknown engine condition " + std::to_string(condition));
+  entry.state = static_cast<EngineState>(condition);
+  entry.zone = in.take<std::uint8_t>();
+  entry.weight = static_cast<double>(in.take<float>());
+  entry.cell = in.take<std::uint16_t>();
+  entry.engine = in.take<std::uint32_t>();
+  entry.started = in.take_time();
+  return entry;
+}
+
+LoadReport read_report(Input& in, const std::vector<std::string>& names) {
+  LoadReport report;
+  const auto count = in.take<std::uint8_t>();
+  for (std::size_t i = 0; i < count; ++i) {
+    const auto value = static_cast<double>(in.take<float>());
+    if (i >= names.size()) continue;
+    if (names[i] == "outstanding") report.queries = value;
+    if (names[i] == "utilization") report.utilization = value;
+  }
+  return report;
+}
+
+RequestArrived read_call(Input& in) {
+  RequestArrived event;
+  event.request = in.take<std::uint64_t>();
+  event.class_index = in.take<std::uint8_t>();
+  event.tenant = in.take<std::uint16_t>();
+  event.order_key = in.take<std::uint64_t>();
+  event.patience = in.take_time();
+  const Duration cost = in.take_time();
+  event.told_memory_mb = static_cast<double>(in.take<float>());
+  event.tables = static_cast<double>(in.take<float>());
+  const auto flags = in.take<std::uint8_t>();
+  if ((flags & 1U) != 0) event.told_cost = cost;
+  event.repeated = (flags & 2U) != 0;
+  return event;
+}
+
+AttemptEnded read_outcome(Input& in, const std::vector<std::string>& names, bool tells_cost) {
+  AttemptEnded event;
+  event.request = in.take<std::uint64_t>();
+  event.attempt = in.take<std::uint16_t>();
+  event.engine = in.take<std::uint32_t>();
+  event.result = read_result(in.take<std::uint16_t>());
+  event.took = in.take_time();
+  event.request_over = in.take<std::uint8_t>() != 0;
+  const auto bill = in.take<std::uint32_t>();
+  if (tells_cost && bill != 0 && event.result == Result::served) {
+    event.work = std::chrono::milliseconds{bill / 4096U};
+    event.memory_mb = 4.0 * static_cast<double>(bill % 4096U);
+  }
+  event.report = read_report(in, names);
+  return event;
+}
+
+ProbeEnded read_probe(Input& in, const std::vector<std::string>& names) {
+  ProbeEnded event;
+  event.result = read_result(in.take<std::uint16_t>());
+  event.engine = in.take<std::uint32_t>();
+  event.took = in.take_time();
+  event.report = read_report(in, names);
+  return event;
+}
+
+Note read_note(Input& in) {
+  Note event;
+  event.request = in.take<std::uint64_t>();
+  event.attempt = in.take<std::uint16_t>();
+  in.take<std::uint32_t>();
+  const auto what = in.take<std::uint8_t>();
+  if (what < 1 || what > 3) throw MalformedFrame("unknown note " + std::to_string(what));
+  event.kind = static_cast<NoteKind>(what - 1);
+  event.level = static_cast<double>(in.take<float>());
+  return event;
+}
+
+FleetChanged read_change(Input& in, const std::array<std::vector<EngineEntry>, 16>& lists) {
+  const auto ref = in.take<std::uint32_t>();
+  in.take<std::uint64_t>();
+  const auto scope = in.take<std::uint8_t>();
+  if (scope > 3) throw MalformedFrame("unknown scope of a list " + std::to_string(scope));
+  FleetChanged event;
+  event.scope = static_cast<FleetScope>(scope);
+  if (event.scope == FleetScope::failed) return event;
+  if (ref >= lists.size()) throw MalformedFrame("list number out of range: " + std::to_string(ref));
+  event.engines = lists[ref];
+  return event;
+}
+
+}  // namespace
+
+std::size_t frame_length(std::span<const std::uint8_t> first_four) {
+  const auto length = Input(first_four).take<std::uint32_t>();
+  if (length < batch_header_bytes || length > most_frame_bytes) {
+    throw MalformedFrame("impossible frame length " + std::to_string(length));
+  }
+  return length;
+}
+
+std::vector<std::uint8_t> WireHost::reply_to(std::span<const std::uint8_t> batch) {
+  Input in(batch);
+  if (in.take<std::uint32_t>() != batch.size()) throw MalformedFrame("frame length does not match");
+  const auto records = in.take<std::uint32_t>();
+  const TimePoint now = in.take_time();
+  const auto number = in.take<std::uint32_t>();
+
+  Output out;
+  out.put(std::uint32_t{0});
+  out.put(number);
+
+  const auto instance = [&](std::uint16_t who) -> Instance& {
+    const auto found = instances_.find(who);
+    if (found == instances_.end()) throw MalformedFrame("unknown instance " + std::to_string(who));
+    return found->second;
+  };
+  const auto deliver = [&](std::uint16_t who, const Event& event) {
+    actions_.clear();
+    instance(who).manager.handle(now, event, actions_);
+    for (const Action& action : actions_) {
+      std::visit([&](const auto& item) { write(out, who, item); }, action);
+    }
+  };
+
+  for (std::uint32_t i = 0; i < records; ++i) {
+    const auto code = in.take<std::uint8_t>();
+    if (code == static_cast<std::uint8_t>(EventCode::snapshot_rows)) {
+      const auto ref = in.take<std::uint32_t>();
+      const auto rows = in.take<std::uint32_t>();
+      if (ref >= lists_.size()) throw MalformedFrame("list number out of range: " + std::to_string(ref));
+      if (rows > in.left() / list_entry_bytes) throw MalformedFrame("list longer than its frame");
+      lists_[ref].clear();
+      for (std::uint32_t row = 0; row < rows; ++row) lists_[ref].push_back(read_entry(in));
+      continue;
+    }
+    if (code < 1 || code > 12) throw MalformedFrame("unknown event code " + std::to_string(code));
+    const auto who = in.take<std::uint16_t>();
+    switch (static_cast<EventCode>(code)) {
+      case EventCode::provision: {
+        const auto seed = in.take<std::uint64_t>();
+        const auto text = in.take_bytes(in.take<std::uint32_t>());
+        const std::string boot(text.begin(), text.end());
+        auto parsed = parse_settings(boot);
+        if (const auto* problem = std::get_if<std::string>(&parsed)) {
+          out.start(ActionCode::fault, who);
+          out.put_text(*problem);
+          parsed = ParsedSettings{};
+        }
+        auto& good = std::get<ParsedSettings>(parsed);
+        good.settings.seed = seed;
+        const bool tells_cost = good.settings.answers_tell_cost;
+        instances_.insert_or_assign(who, Instance{WorkloadManager(std::move(good.settings)),
+                                                  std::move(good.report_names), tells_cost});
+        break;
+      }
+      case EventCode::kill:
+        instance(who);
+        instances_.erase(who);
+        break;
+      case EventCode::roster_change: deliver(who, read_change(in, lists_)); break;
+      case EventCode::call: deliver(who, read_call(in)); break;
+      case EventCode::under_way: {
+        const AnswerStarted event{in.take<std::uint64_t>()};
+        in.take_bytes(2 + 8 + 4);
+        deliver(who, event);
+        break;
+      }
+      case EventCode::status_note: deliver(who, read_note(in)); break;
+      case EventCode::result:
+        deliver(who, read_outcome(in, instance(who).report_names, instance(who).tells_cost));
+        break;
+      case EventCode::left: deliver(who, ClientLeft{in.take<std::uint64_t>()}); break;
+      case EventCode::timeout_fired: deliver(who, TimerFired{in.take<std::uint32_t>()}); break;
+      case EventCode::check_result: deliver(who, read_probe(in, instance(who).report_names)); break;
+      case EventCode::datagram:
+        in.take<std::uint16_t>();
+        in.take_bytes(in.take<std::uint16_t>());
+        deliver(who, PeerMessage{});
+        break;
+      case EventCode::snapshot_rows: break;
+    }
+  }
+  if (!in.at_end()) throw MalformedFrame("bytes after the last record");
+  return out.finish();
+}
+
+}  // namespace paddlestand::wire
--- /dev/null
+++ b/src/workload_manager.cpp
@@ -0,0 +1,927 @@
+// The decision module: every decision of a workload manager, and every constant that one hangs on.
+// Its types, events and actions: include/paddlestand/workload_manager.hpp. Kept and changed: docs/design.md.
+//
+// Sections: 1 constants | 2 class bound (predictive and reactive) | 3 ledger of requests and attempts
+//           4 engine health | 5 placement | 6 rule guards | 7 event handlers
+//
+// Inside, times are seconds since the first event and work is seconds on one thread.
+#include "paddlestand/workload_manager.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <map>
+#include <set>
+#include <utility>
+
+namespace paddlestand {
+namespace {
+
+// ---- 1. Constants -----------------------------------------------------------------------------------------
+
+constexpr double k_p = 4.93;  // proportional gain of the design (paper, section 4)
+constexpr double k_i = 5.36;  // integral gain of the design (paper, section 4)
+constexpr double gain_scale = 0.05;  // 1/s: an error of a second moves the bound by about what drains in one
+constexpr double period = 1.0;  // s: every bound is set anew once a period (design page)
+constexpr double watch_period = 0.05;  // s: how often overdue attempts and hopeless held queries are sought
+constexpr double headroom = 0.7;  // of the aim: a mean at the aim itself would leave half of all late
+constexpr double queue_limit = 2;  // largest costs: max_data of the design is this times the largest cost
+constexpr double finish_smooth = 0.25;  // of one period in the finished cost per second: one query is no rate
+constexpr double rate_up = 0.5;  // weight of a period that drained faster than any seen lately
+constexpr double rate_down = 0.1;  // weight of a slower one in which the class was held back
+constexpr double rate_forget = 0.998;  // per period otherwise: light load tells nothing of capacity
+constexpr double crowd = 4.0;  // threads a core, all gateways together: many wait for disks or locks
+constexpr double learn_rate = 0.03;  // least weight of one answer in a class's learned figures
+constexpr double pace_rate = 0.1;  // least weight of one answer in the learned pace
+constexpr double run_quantile = 0.5;  // of run times where they stand for work: waits only lengthen them
+constexpr double ratio_cap = 5;  // a single answer counts as at most this multiple of what was expected
+constexpr double overdue_times = 3;  // expected run times after which an attempt is overdue
+constexpr double overdue_slack = 0.4;  // s, added to it: network, lines and scatter of short queries
+constexpr double silent_after = 0.6;  // s without an answer while attempts are overdue
+constexpr double cut_times = 3;  // expected run times after which a bad plan is likelier than a long query
+constexpr double cut_slack = 0.5;  // s, added to it
+constexpr double cut_floor = 3;  // cuts allowed in cut_window at the least
+constexpr double cut_share = 0.2;  // and this share of the requests taken: no storm of cuts when all is slow
+constexpr double cut_window = 5;  // s
+constexpr double error_weight = 0.25;  // of one outcome in an engine's failures: two in a row shun it
+constexpr double error_shun = 0.4;  // share of failures
+constexpr double slow_shun = 2.5;  // times the median pace of its peers
+constexpr double shun_first = 1.0;  // s, doubled at each failed trial
+constexpr double shun_most = 8.0;  // s
+constexpr int trial_answers = 3;  // answers in a row, one at a time, before an engine is trusted again
+constexpr double cold_caution = 0.6;  // of the budget of a cold engine: true work may pass what was told
+constexpr double busy_at_capacity = 0.68;  // cores busy where the rules speak of capacity, less for speed
+constexpr double unlearned_times = 2;  // told costs count this much on a cold engine until answers told more
+constexpr double warm_bonus = 0.1;  // threads a core: tie-break for an engine that read the tables lately
+constexpr double writer_penalty = 4;  // threads a core: an engine where a load holds the tables
+constexpr double retried_penalty = 4;  // threads a core: an engine that this request was tried on
+constexpr std::size_t warm_tables = 4;  // groups that an engine is taken to keep warm
+constexpr double memory_quarter = 1.25;  // grant over the corrected estimate, as engines themselves choose
+constexpr double end_margin_steps = 3;  // clock steps before the client's deadline at which all is answered
+constexpr double full_rest = 0.25;  // s without sends after an engine turned one away
+constexpr double budget_edge = 0.01;  // s: attempts are counted over so much more, requests over so much less
+
+double seconds(Duration d) { return static_cast<double>(d.count()) * 1e-9; }
+// Timers last 71 minutes at most.
+Duration duration(double s) { return Duration{std::llround(std::clamp(s, 0.0, 4000.0) * 1e9)}; }
+double usable(double value, double otherwise) {
+  return std::isfinite(value) && value > 0 ? value : otherwise;
+}
+
+struct Attempt {
+  EngineId engine{};
+  double sent{};
+  double base{};  // s that it would run alone: cost over threads
+  double memory{};  // granted, MB
+  bool out = true, cut = false;
+  bool may_have_run = true;  // until its outcome proves otherwise
+  bool roomy = false;  // its engine had cores to spare for it
+  bool charged = false;  // counted in the class's running cost
+};
+
+struct Request {
+  RequestId id{};
+  std::uint32_t cls{};
+  std::uint64_t key{};
+  double arrived{}, deadline{};
+  double told{};  // told cost, or the class's mean where none was told
+  double memory{};  // told memory need, MB; 0: not told
+  double tables{};
+  bool cost_told = false, over_share = false, held = false, streaming = false, over = false;
+  std::vector<Attempt> attempts;
+  [[nodiscard]] bool attempt_out() const {
+    return std::any_of(attempts.begin(), attempts.end(), [](const Attempt& a) { return a.out; });
+  }
+};
+
+struct ClassState {
+  std::vector<RequestId> queue;  // held, in order of arrival
+  double queued = 0;  // cost held
+  double running = 0;  // cost out on engines not judged ill
+  double rate = 0;  // 1/rho: cost finished per second, learned
+  double b_delta = 0, b_total = 0, last_error = 0;
+  double largest = 0;  // largest cost seen, slowly forgotten
+  double finished = 0;  // this period
+  double finish_rate = 0;  // per second, over some periods
+  double latency_sum = 0, answers = 0;  // this period
+  double bias = 1, samples = 0;  // work over told cost, and the answers behind it
+  double scatter = 0.5;  // mean deviation of ln(work / corrected cost)
+  double mean_cost = 0, arrivals = 0;
+  double memory_bias = 1, memory_samples = 0;
+  double pace = 1, pace_samples = 0;  // run time over time alone, lately
+  bool held_back = false, closed = false;
+};
+
+enum class Health : std::uint8_t { well, shunned, trial };
+enum class Symptom : std::uint8_t { errors, silence, no_connection, slowness };
+
+struct Engine {
+  EngineEntry entry;
+  bool listed = false, probing = false;
+  double cores = 1, memory_mb = 0;
+  double queries = 0, threads = 0, memory = 0;  // ours; memory as granted
+  double failures = 0, slow = 1;  // share that failed, pace against its peers
+  double last_answer = -1e9, full_until = -1e9, cold_until = -1e9;
+  double first_out = 0;  // since when something of ours is out without a break
+  double utilization = 0;
+  Health health = Health::well;
+  Symptom symptom = Symptom::errors;
+  double shunned_until = 0, shun_length = shun_first;
+  int trial_good = 0;
+  std::deque<std::pair<double, double>> cold_sends;  // time, work
+  std::vector<double> warm;  // tables, latest last
+  std::map<double, int> writers;  // our loads on it, by tables
+  [[nodiscard]] bool ready() const { return listed && entry.state == EngineState::ready; }
+};
+
+constexpr const char* words[] = {"failing fast", "silent", "not reached", "slower than its peers"};
+
+}  // namespace
+
+class WorkloadManager::Impl {
+ public:
+  explicit Impl(Settings settings) : s_(std::move(settings)), classes_(s_.classes.size()) {
+    for (auto& c : s_.classes) c.threads = usable(c.threads, 1.0);
+    instances_ = std::max(1.0, static_cast<double>(s_.instances));
+    for (std::size_t i = 0; i < s_.tenants.size(); ++i) tenant_tokens_.push_back(tenant_rate(i));
+    end_margin_ = end_margin_steps * std::max(seconds(s_.clock_step), 1e-3);
+  }
+
+  void handle(TimePoint now, const Event& event, std::vector<Action>& actions) {
+    out_ = &actions;
+    if (!started_) {
+      started_ = true;
+      origin_ = now;
+      next_period_ = period;
+      if (s_.fleet_by_request) out_->push_back(SubscribeFleet{});
+      set_timer(watch_period);
+    }
+    now_ = seconds(now - origin_);
+    std::visit([this](const auto& e) { on(e); }, event);
+    pump();
+  }
+
+ private:
+  // ---- 2. Class bound ----
+
+  // A told cost is corrected by what its class's answers told: costs told far too low would let the running
+  // sum understate the work, and the bound admit too much (design page, last part).
+  double cost_of(const Request& r) const {
+    const ClassState& c = classes_[r.cls];
+    return std::max(1e-3, r.cost_told ? r.told * c.bias : usable(c.mean_cost * c.bias, 0.1));
+  }
+  double aim_of(const Request& r) const {
+    const ClassSettings& k = s_.classes[r.cls];
+    return seconds(k.aim) + k.aim_stretch * cost_of(r) / k.threads;
+  }
+
+  void set_bounds() {
+    for (std::size_t i = 0; i < classes_.size(); ++i) {
+      ClassState& c = classes_[i];
+      double oldest = now_, newest = -1;
+      double mix = 0, present = 0;
+      double late_sum = 0, late = 0;
+      for (const auto& [id, r] : requests_) {
+        if (r.cls != i || r.over) continue;
+        const double aim = aim_of(r);
+        mix += aim;
+        present += 1;
+        if (now_ - r.arrived > aim) {
+          // Work on a hung engine never finishes: its age belongs in the latency, or all would look calm.
+          late_sum += now_ - r.arrived;
+          late += 1;
+          continue;
+        }
+        oldest = std::min(oldest, r.arrived);
+        newest = std::max(newest, r.arrived);
+      }
+      newest = std::max(newest, oldest);
+      c.largest *= 0.999;
+      learn_rate_of(c);
+      if (present == 0 && c.answers == 0) c.b_delta = c.last_error = 0;
+      const ClassSettings& k = s_.classes[i];
+      const double usual_aim = seconds(k.aim) + k.aim_stretch * c.mean_cost * c.bias / k.threads;
+      const double aim = headroom * (present > 0 ? mix / present : usual_aim);
+      // The ceiling: what drains within the aim. Queue limit times largest cost alone lets a queue of one
+      // rare heavy query's size build up, which takes many aims to drain.
+      const double max_data = std::min(queue_limit * std::max(c.largest, 1e-3), c.rate * aim);
+      const double b_f = 2 * c.rate * (aim - now_ + (oldest + newest) / 2) - c.running;
+      if (c.answers + late > 0) {
+        const double error = aim - (c.latency_sum + late_sum) / (c.answers + late);
+        c.b_delta += gain_scale * c.finish_rate * k_p * ((k_i + 1) * error - c.last_error);
+        c.last_error = error;
+      }
+      c.b_delta = std::clamp(c.b_delta, -max_data, max_data);
+      c.b_total = std::clamp(b_f + c.b_delta, 0.0, max_data);
+      const bool closed = c.b_total <= 0;
+      if (closed != c.closed) log("class " + std::to_string(i) + (closed ? " bound closed" : " bound open"));
+      c.closed = closed;
+      c.finished = c.latency_sum = c.answers = 0;
+      c.held_back = !c.queue.empty();
+    }
+  }
+
+  // Cost finished per second measures arrivals while load is light, so the best rate seen counts, slowly
+  // forgotten; a lower one is learned only where the class was held back all period.
+  void learn_rate_of(ClassState& c) {
+    c.finish_rate += finish_smooth * (c.finished / period - c.finish_rate);
+    const double seen = c.finish_rate;
+    const double weight = seen > c.rate ? rate_up : c.held_back && !c.queue.empty() ? rate_down : 0;
+    c.rate = weight > 0 ? c.rate + weight * (seen - c.rate) : c.rate * rate_forget;
+  }
+
+  // Admit only what fits the bound. The one exception: nothing of the class is held and engines are free, so
+  // that a small bound does not shut an idle class.
+  bool admits(const Request& r) const {
+    const ClassState& c = classes_[r.cls];
+    if (cost_of(r) + c.queued <= c.b_total) return !(r.over_share && pressed());
+    return c.queue.empty() && !pressed();
+  }
+
+  bool pressed() const { return threads_out_ >= 0.8 * thread_bound() || any_held(); }
+  bool any_held() const {
+    return std::any_of(classes_.begin(), classes_.end(),
+                       [](const ClassState& c) { return !c.queue.empty(); });
+  }
+
+  // ---- 3. Ledger of requests and attempts ----
+
+  void log(std::string text) { out_->push_back(Log{std::move(text)}); }
+  void set_timer(double after) { out_->push_back(SetTimer{0, duration(after)}); }
+
+  double tenant_rate(std::size_t i) const { return usable(s_.tenants[i].quota_per_s, 0.0) / instances_; }
+
+  bool beyond_quota(std::uint32_t tenant) {
+    if (tenant >= s_.tenants.size()) return false;
+    for (std::size_t i = 0; i < tenant_tokens_.size(); ++i) {
+      tenant_tokens_[i] = std::min(tenant_rate(i), tenant_tokens_[i] + tenant_rate(i) * (now_ - tokens_at_));
+    }
+    tokens_at_ = now_;
+    if (tenant_tokens_[tenant] < 1) return true;
+    tenant_tokens_[tenant] -= 1;
+    return false;
+  }
+
+  void hold(Request& r) {
+    ClassState& c = classes_[r.cls];
+    const auto place = std::find_if(c.queue.begin(), c.queue.end(),
+                                    [&](RequestId id) { return requests_.at(id).arrived > r.arrived; });
+    c.queue.insert(place, r.id);
+    c.queued += cost_of(r);
+    r.held = true;
+  }
+
+  void unhold(Request& r) {
+    if (!r.held) return;
+    ClassState& c = classes_[r.cls];
+    std::erase(c.queue, r.id);
+    c.queued = 0;
+    for (const RequestId id : c.queue) c.queued += cost_of(requests_.at(id));
+    r.held = false;
+  }
+
+  void start_attempt(Request& r, Engine& e) {
+    unhold(r);
+    const ClassSettings& k = s_.classes[r.cls];
+    Attempt a;
+    a.engine = e.entry.engine;
+    a.sent = now_;
+    a.base = cost_of(r) / k.threads;
+    a.memory = granted(r);
+    a.charged = true;
+    if (!r.attempts.empty()) further_.push_back(now_);
+    if (now_ < e.cold_until) e.cold_sends.emplace_back(now_, usual_work(r.cls));
+    if (e.queries == 0) e.first_out = now_;
+    e.queries += 1;
+    e.threads += k.threads;
+    a.roomy = e.threads * instances_ <= e.cores;
+    e.memory += a.memory;
+    threads_out_ += k.threads;
+    classes_[r.cls].running += a.base * k.threads;
+    if (k.writes_tables) ++e.writers[r.tables];
+    std::erase(e.warm, r.tables);
+    e.warm.push_back(r.tables);
+    if (e.warm.size() > warm_tables) e.warm.erase(e.warm.begin());
+    r.attempts.push_back(a);
+    if (s_.priorities_heeded || s_.grants_heeded) {
+      out_->push_back(SetTerms{r.id, priority_of(r), s_.grants_heeded ? granted(r) : 0.0});
+    }
+    out_->push_back(Send{r.id, e.entry.engine, duration(r.deadline - end_margin_ - now_)});
+  }
+
+  void end_attempt(const Request& r, Attempt& a) {
+    const ClassSettings& k = s_.classes[r.cls];
+    a.out = false;
+    threads_out_ -= k.threads;
+    discharge(r, a);
+    Engine& e = engines_.at(a.engine);
+    e.queries -= 1;
+    e.threads -= k.threads;
+    e.memory -= a.memory;
+    if (k.writes_tables && --e.writers[r.tables] <= 0) e.writers.erase(r.tables);
+  }
+
+  // Work on an engine judged ill leaves the running sum: it would only shrink the bound.
+  void discharge(const Request& r, Attempt& a) {
+    if (!a.charged) return;
+    a.charged = false;
+    const double cost = a.base * s_.classes[r.cls].threads;
+    classes_[r.cls].running = std::max(0.0, classes_[r.cls].running - cost);
+  }
+
+  // The final answer, at once: a refusal where trying again is harmless, else a failure.
+  void answer(Request& r) {
+    if (r.over) return;
+    unhold(r);
+    for (std::size_t i = 0; i < r.attempts.size(); ++i) {
+      if (r.attempts[i].out && s_.may_cancel) out_->push_back(Cancel{r.id, static_cast<std::uint32_t>(i)});
+    }
+    out_->push_back(may_refuse(r) ? Action{Refuse{r.id, retry_advice(r)}} : Action{Fail{r.id}});
+    close_request(r);
+  }
+
+  Duration retry_advice(const Request& r) const {
+    if (!s_.may_advise_retry) return Duration{0};
+    const ClassState& c = classes_[r.cls];
+    const double wait = period / 2 + c.queued / std::max(c.rate, 1e-3);
+    return std::min(s_.longest_retry_advice, duration(wait));
+  }
+
+  void close_request(Request& r) {
+    unhold(r);
+    r.over = true;
+    ends_.erase({r.deadline, r.id});
+    forget_if_done(r.id);
+  }
+
+  void forget_if_done(RequestId id) {
+    const auto found = requests_.find(id);
+    if (found == requests_.end()) return;
+    const Request& r = found->second;
+    if (!r.over || r.attempt_out()) return;
+    if (r.key != 0) {
+      auto& line = turns_[r.key];
+      std::erase(line, id);
+      if (line.empty()) turns_.erase(r.key);
+    }
+    requests_.erase(found);
+  }
+
+  void drop_older(std::deque<double>& times, double age) const {
+    while (!times.empty() && times.front() < now_ - age) times.pop_front();
+  }
+
+  // ---- 4. Engine health ----
+
+  std::size_t ready_engines() const {
+    return static_cast<std::size_t>(
+        std::count_if(engines_.begin(), engines_.end(), [](const auto& e) { return e.second.ready(); }));
+  }
+
+  // Never so many shunned for slowness or silence that the rest must fall: what strikes more than half of the
+  // engines together is no reason to shun any one.
+  bool may_shun_more() const {
+    const auto shunned = std::count_if(engines_.begin(), engines_.end(), [](const auto& e) {
+      return e.second.ready() && e.second.health != Health::well;
+    });
+    return 2 * (static_cast<std::size_t>(shunned) + 1) <= ready_engines();
+  }
+
+  void shun(Engine& e, Symptom why) {
+    if (e.health == Health::shunned) return;
+    e.shun_length = e.health == Health::trial ? std::min(shun_most, 2 * e.shun_length) : shun_first;
+    if (e.health == Health::well)
+      log("engine " + std::to_string(e.entry.engine) + " shunned: " + words[static_cast<std::size_t>(why)]);
+    e.health = Health::shunned;
+    e.symptom = why;
+    e.shunned_until = now_ + e.shun_length;
+    e.trial_good = 0;
+    for (auto& [id, r] : requests_) {
+      for (Attempt& a : r.attempts) {
+        if (a.out && a.engine == e.entry.engine) discharge(r, a);
+      }
+    }
+  }
+
+  void trust(Engine& e) {
+    log("engine " + std::to_string(e.entry.engine) + " let back");
+    e.health = Health::well;
+    e.failures = 0;
+    e.slow = 1;
+  }
+
+  void on_sign_of_life(Engine& e) {
+    // What was silent may be a process that has just started: full work comes only once it is warm.
+    if (e.health != Health::well && (e.symptom == Symptom::silence || e.symptom == Symptom::no_connection)) {
+      if (now_ >= e.cold_until) e.cold_until = now_ + seconds(s_.cold_time) / 2;
+    }
+  }
+
+  void judge_served(Engine& e, double relative_pace) {
+    e.last_answer = now_;
+    e.failures *= 1 - error_weight;
+    e.slow += 0.15 * (relative_pace - e.slow);
+    on_sign_of_life(e);
+    if (e.health == Health::trial) {
+      if (relative_pace > slow_shun && e.symptom == Symptom::slowness) {
+        shun(e, Symptom::slowness);
+      } else if (++e.trial_good >= trial_answers) {
+        trust(e);
+      }
+    }
+  }
+
+  void judge_failed(Engine& e, Symptom why) {
+    e.last_answer = now_;
+    e.failures += error_weight * (1 - e.failures);
+    if (e.health == Health::trial || e.failures > error_shun) shun(e, why);
+  }
+
+  double expected_run(const Request& r, const Attempt& a) const {
+    return a.base * std::max(1.0, classes_[r.cls].pace);
+  }
+
+  // Seeks engines that take work and answer nothing, and attempts far past their expected time.
+  void watch() {
+    struct Out {
+      double overdue = 0, all = 0;
+    };
+    std::map<EngineId, Out> outs;
+    std::vector<RequestId> late;
+    for (const auto& [id, r] : requests_) {
+      if (r.held && hopeless(r)) late.push_back(id);
+      for (const Attempt& a : r.attempts) {
+        if (!a.out || a.cut) continue;
+        Out& o = outs[a.engine];
+        o.all += 1;
+        if (now_ - a.sent > overdue_times * expected_run(r, a) + overdue_slack) o.overdue += 1;
+      }
+    }
+    for (const RequestId id : late) answer(requests_.at(id));
+    for (auto& [id, e] : engines_) {
+      const Out& o = outs[id];
+      const bool quiet = now_ - std::max(e.last_answer, e.first_out) > silent_after;
+      if (quiet && o.overdue > 0 && (o.overdue >= 2 || o.overdue == o.all) && may_shun_more()) {
+        shun(e, Symptom::silence);
+      }
+      if (e.health == Health::well && e.slow > slow_shun * median_slow() && may_shun_more()) {
+        shun(e, Symptom::slowness);
+      }
+      if (e.health == Health::shunned && now_ >= e.shunned_until && e.ready() && !e.probing) try_again(e);
+    }
+    cut_overdue();
+  }
+
+  double median_slow() const {
+    std::vector<double> all;
+    for (const auto& [id, e] : engines_) {
+      if (e.ready()) all.push_back(e.slow);
+    }
+    if (all.empty()) return 1;
+    std::nth_element(all.begin(), all.begin() + static_cast<std::ptrdiff_t>(all.size() / 2), all.end());
+    return std::max(1.0, all[all.size() / 2]);
+  }
+
+  // A silent engine must first answer a probe, where probes are allowed; a shallow sign of life is not
+  // health, so a trial of single queries follows.
+  void try_again(Engine& e) {
+    if (s_.may_probe && (e.symptom == Symptom::silence || e.symptom == Symptom::no_connection)) {
+      e.probing = true;
+      out_->push_back(Probe{e.entry.engine});
+    } else {
+      e.health = Health::trial;
+      e.trial_good = 0;
+    }
+  }
+
+  // Cuts attempts that are far past their time, to repeat them elsewhere while that is still worth it.
+  void cut_overdue() {
+    if (!s_.may_cancel) return;
+    drop_older(cuts_, cut_window);
+    for (auto& [id, r] : requests_) {
+      if (r.over || r.streaming || r.attempts.empty()) continue;
+      Attempt& a = r.attempts.back();
+      if (!a.out || a.cut || !may_go_on(r)) continue;
+      const bool ill = engines_.at(a.engine).health != Health::well;
+      const ClassState& c = classes_[r.cls];
+      const double times = ill ? overdue_times : std::max(cut_times, std::exp(2 * c.scatter));
+      if (!ill && c.pace_samples < 10) continue;
+      if (now_ - a.sent < times * expected_run(r, a) + (ill ? overdue_slack : cut_slack)) continue;
+      if (static_cast<double>(cuts_.size()) >= cut_floor + cut_share * taken_lately(cut_window)) return;
+      cuts_.push_back(now_);
+      a.cut = true;
+      out_->push_back(Cancel{r.id, static_cast<std::uint32_t>(r.attempts.size() - 1)});
+    }
+  }
+
+  double taken_lately(double age) const {
+    const auto from = std::upper_bound(taken_.begin(), taken_.end(), now_ - age);
+    return static_cast<double>(taken_.end() - from);
+  }
+
+  // ---- 5. Placement ----
+
+  // What the engine will grant: where that is heeded, the estimate corrected by what answers told.
+  double granted(const Request& r) const {
+    const double corrected = s_.grants_heeded ? classes_[r.cls].memory_bias : 1.0;
+    return usable(r.memory, 0.0) * corrected * memory_quarter;
+  }
+
+  double usual_work(std::uint32_t cls) const {
+    const ClassState& c = classes_[cls];
+    const double known = c.samples >= 5 ? c.bias : unlearned_times * std::max(1.0, c.bias);
+    return std::max(0.05, c.mean_cost * known);
+  }
+
+  double worth_density(std::uint32_t cls, double cost) const {
+    return usable(s_.classes[cls].worth, 1e-3) / std::max(cost, 1e-3);
+  }
+
+  // Short work ahead of long: by worth for each second of work against the mean of all that arrives.
+  std::uint8_t priority_of(const Request& r) const {
+    double worth = 0, work = 0;
+    for (std::size_t i = 0; i < classes_.size(); ++i) {
+      worth += classes_[i].arrivals * usable(s_.classes[i].worth, 1e-3);
+      work += classes_[i].arrivals * classes_[i].mean_cost * classes_[i].bias;
+    }
+    if (r.over_share || now_ > r.arrived + aim_of(r)) return 0;
+    const double against = worth_density(r.cls, cost_of(r)) * work / std::max(worth, 1e-6);
+    return against > 2 ? 3 : against > 0.7 ? 2 : against > 0.25 ? 1 : 0;
+  }
+
+  double bound_of(const Engine& e) const {
+    const double part = now_ < e.cold_until ? std::clamp(s_.cold_share, 0.1, 1.0) : 1.0;
+    return e.cores * crowd * part / (instances_ * std::clamp(e.slow / median_slow(), 1.0, 4.0));
+  }
+  double thread_bound() const {
+    double all = 0;
+    for (const auto& [id, e] : engines_) {
+      if (e.ready() && e.health == Health::well) all += bound_of(e);
+    }
+    return all;
+  }
+
+  // What can no longer be answered in time, or only for nothing, is answered at once.
+  bool hopeless(const Request& r) const {
+    const ClassSettings& k = s_.classes[r.cls];
+    const double done = now_ + cost_of(r) / k.threads;
+    if (done > r.deadline - end_margin_) return true;
+    return done > r.arrived + aim_of(r) && (k.late_worth <= 0 || pressed());
+  }
+
+  // The engine that holds fewest of ours, in threads a core, among those where the request may go and fits.
+  Engine* choose(const Request& r, double total_bound) {
+    const ClassSettings& k = s_.classes[r.cls];
+    if (threads_out_ > 0 && threads_out_ + k.threads > total_bound) return nullptr;
+    Engine* best = nullptr;
+    double best_load = 0;
+    for (auto& [id, e] : engines_) {
+      if (!may_send(r, e) || e.health == Health::shunned || now_ < e.full_until) continue;
+      const bool trial = e.health == Health::trial;
+      if (trial && (e.queries > 0 || k.repeat != Repeat::safe)) continue;
+      const double bound = bound_of(e);
+      if (e.threads > 0 && e.threads + k.threads > bound) continue;
+      // Better to wait here, in order of arrival, than in the engine's line for memory.
+      if (e.queries > 0 && e.memory_mb > 0 && e.memory + granted(r) > e.memory_mb / instances_) continue;
+      double load = (e.threads + k.threads) / std::max(bound, 1e-3) + 0.3 * e.utilization;
+      if (std::find(e.warm.begin(), e.warm.end(), r.tables) != e.warm.end()) load -= warm_bonus;
+      if ((k.waits_for_writers || k.writes_tables) && e.writers.contains(r.tables)) load += writer_penalty;
+      for (const Attempt& a : r.attempts) load += a.engine == id ? retried_penalty : 0;
+      if (trial) load -= 1;  // one query at a time finds out whether it is well again
+      if (k.repeat == Repeat::unsafe) load += 2 * e.failures;
+      if (best == nullptr || load < best_load) {
+        best = &e;
+        best_load = load;
+      }
+    }
+    return best;
+  }
+
+  // Held queries leave in order of arrival within their class; the class worth most for its work goes first.
+  void pump() {
+    if (!any_held()) return;
+    const double total = thread_bound();
+    std::vector<std::size_t> order;
+    for (std::size_t i = 0; i < classes_.size(); ++i) {
+      if (!classes_[i].queue.empty()) order.push_back(i);
+    }
+    const auto density = [this](std::size_t i) {
+      return worth_density(static_cast<std::uint32_t>(i), classes_[i].mean_cost * classes_[i].bias);
+    };
+    std::stable_sort(order.begin(), order.end(),
+                     [&](std::size_t a, std::size_t b) { return density(a) > density(b); });
+    for (const std::size_t i : order) {
+      const std::vector<RequestId> line = classes_[i].queue;
+      for (const RequestId id : line) {
+        Request& r = requests_.at(id);
+        if (!has_turn(r) || !within_budget(r)) continue;  // its key or the ration holds it, not the engines
+        Engine* e = choose(r, total);
+        if (e == nullptr) break;
+        start_attempt(r, *e);
+      }
+    }
+  }
+
+  // ---- 6. Rule guards ----
+
+  bool has_turn(const Request& r) const {
+    if (r.key == 0) return true;
+    const auto line = turns_.find(r.key);
+    if (line != turns_.end() && !line->second.empty() && line->second.front() != r.id) return false;
+    const auto rest = rests_.find(r.key);
+    return rest == rests_.end() || now_ > rest->second || !r.attempts.empty();
+  }
+
+  bool within_budget(const Request& r) const {
+    if (r.attempts.empty() || !s_.attempt_budget) return true;
+    const AttemptBudget& b = *s_.attempt_budget;
+    const double window = seconds(b.window);
+    const auto from = std::lower_bound(further_.begin(), further_.end(), now_ - window - budget_edge);
+    const auto made = static_cast<double>(further_.end() - from);
+    return made + 1 <= b.floor + b.share * taken_lately(window - budget_edge);
+  }
+
+  // A repeat of what may have run: only safe classes, or keyed ones where and while the engines drop repeats.
+  bool effect_allows(const Request& r, const Engine& e) const {
+    const ClassSettings& k = s_.classes[r.cls];
+    if (k.repeat == Repeat::safe) return true;
+    const auto first =
+        std::find_if(r.attempts.begin(), r.attempts.end(), [](const Attempt& a) { return a.may_have_run; });
+    if (first == r.attempts.end()) return true;
+    if (k.repeat == Repeat::unsafe || now_ > first->sent + seconds(k.key_window) - 2 * end_margin_)
+      return false;
+    const EngineEntry& then = engines_.at(first->engine).entry;
+    if (k.key_scope == KeyScope::all) return true;
+    return then.zone == e.entry.zone && (k.key_scope == KeyScope::zone || then.cell == e.entry.cell);
+  }
+
+  bool placement_allows(const Request& r, const Engine& e) const {
+    const auto among = [](const std::optional<std::vector<std::uint32_t>>& allowed, std::uint32_t place) {
+      return !allowed || std::find(allowed->begin(), allowed->end(), place) != allowed->end();
+    };
+    const ClassSettings& k = s_.classes[r.cls];
+    return among(k.allowed_zones, e.entry.zone) && among(k.allowed_kinds, e.entry.kind);
+  }
+
+  // This instance's part of what a cold engine can take in any fall window, counted in its class's usual
+  // work.
+  bool cold_allows(const Request& r, const Engine& e) const {
+    if (now_ >= e.cold_until) return true;
+    const double window = std::max(seconds(s_.fall_window), 1e-3);
+    if (now_ < window) return false;  // what an earlier start of this instance sent is not known
+    double sent = usual_work(r.cls);
+    for (const auto& [at, work] : e.cold_sends) sent += at > now_ - 1.05 * window ? work : 0.0;
+    const double capacity = e.cores * busy_at_capacity * s_.cold_share;
+    return sent <= cold_caution * s_.fall_multiple * capacity * window / instances_;
+  }
+
+  // May this attempt be sent now? Every send passes here.
+  bool may_send(const Request& r, const Engine& e) const {
+    if (r.over || r.streaming || r.attempt_out()) return false;
+    if (now_ >= r.deadline - end_margin_) return false;
+    if (!r.attempts.empty() && r.attempts.size() >= s_.most_attempts) return false;
+    return e.ready() && placement_allows(r, e) && effect_allows(r, e) && has_turn(r) && within_budget(r) &&
+           cold_allows(r, e);
+  }
+
+  // May this be refused? Every refusal passes here.
+  bool may_refuse(const Request& r) const {
+    const ClassSettings& k = s_.classes[r.cls];
+    if (k.repeat == Repeat::safe || (k.repeat == Repeat::keyed && k.key_scope == KeyScope::all)) return true;
+    return std::none_of(r.attempts.begin(), r.attempts.end(),
+                        [](const Attempt& a) { return a.out || a.may_have_run; });
+  }
+
+  // Could a further attempt be made at all, once the present one has ended in doubt?
+  bool may_go_on(const Request& r) const {
+    if (r.attempts.size() >= s_.most_attempts || hopeless(r) || !within_budget(r)) return false;
+    return std::any_of(engines_.begin(), engines_.end(), [&](const auto& e) {
+      return placement_allows(r, e.second) && effect_allows(r, e.second);
+    });
+  }
+
+  // ---- 7. Event handlers ----
+
+  void on(const FleetChanged& event) {
+    if (event.scope == FleetScope::failed) {
+      resubscribe_at_ = now_ + period;
+      return;
+    }
+    if (event.scope != FleetScope::delta) {
+      for (auto& [id, e] : engines_) e.listed = false;
+    }
+    for (const EngineEntry& entry : event.engines) {
+      const auto [place, fresh] = engines_.try_emplace(entry.engine);
+      Engine& e = place->second;
+      const bool restarted = !fresh && entry.started > e.entry.started;
+      e.entry = entry;
+      e.listed = entry.state != EngineState::gone;
+      const bool known = entry.kind < s_.kinds.size();
+      e.cores = known ? usable(s_.kinds[entry.kind].cores, 1.0) : 1.0;
+      e.memory_mb = known ? usable(s_.kinds[entry.kind].memory_mb, 0.0) : 0.0;
+      if (entry.started.count() > 0) {
+        const double warm_at = seconds(entry.started - origin_) + seconds(s_.cold_time);
+        if (warm_at > now_) e.cold_until = std::max(e.cold_until, warm_at);
+      }
+      if (restarted) {
+        e.warm.clear();
+        e.failures = 0;
+        e.slow = 1;
+        if (e.health == Health::shunned) e.shunned_until = now_;
+      }
+    }
+  }
+
+  void on(const RequestArrived& event) {
+    if (event.class_index >= classes_.size() || requests_.contains(event.request)) {
+      out_->push_back(Fail{event.request});
+      return;
+    }
+    taken_.push_back(now_);
+    drop_older(taken_, 2 * cut_window + (s_.attempt_budget ? seconds(s_.attempt_budget->window) : 0.0));
+    ClassState& c = classes_[event.class_index];
+    const ClassSettings& k = s_.classes[event.class_index];
+    Request r;
+    r.id = event.request;
+    r.cls = event.class_index;
+    r.key = k.in_turn ? event.order_key : 0;
+    r.arrived = now_;
+    r.deadline = now_ + seconds(event.patience);
+    r.memory = event.told_memory_mb;
+    r.tables = std::isfinite(event.tables) ? event.tables : 0.0;
+    r.cost_told = event.told_cost && event.told_cost->count() > 0;
+    r.told = r.cost_told ? seconds(*event.told_cost) : c.mean_cost;
+    r.over_share = beyond_quota(event.tenant);
+    if (r.cost_told) {
+      c.arrivals += 1;
+      c.mean_cost += std::max(learn_rate / 3, 1 / c.arrivals) * (r.told - c.mean_cost);
+      // rho starts as the aim over the first told cost, shared by the ready engines (design page).
+      if (c.rate <= 0) {
+        c.rate =
+            r.told * std::max(1.0, static_cast<double>(ready_engines())) / std::max(seconds(k.aim), 1e-3);
+      }
+    }
+    Request& kept = requests_.emplace(r.id, std::move(r)).first->second;
+    const double cost = cost_of(kept);
+    c.largest = std::max(c.largest, cost);
+    if (c.rate > 0 && c.b_total <= 0 && !c.closed) c.b_total = 2 * c.rate * headroom * aim_of(kept);
+    if (kept.key != 0) turns_[kept.key].push_back(kept.id);
+    ends_.insert({kept.deadline, kept.id});
+    set_timer(kept.deadline - end_margin_ - now_);
+    !admits(kept) || hopeless(kept) ? answer(kept) : hold(kept);
+  }
+
+  void on(const AnswerStarted& event) {
+    const auto found = requests_.find(event.request);
+    if (found == requests_.end()) return;
+    found->second.streaming = true;
+    ends_.erase({found->second.deadline, found->first});
+  }
+
+  void on(const AttemptEnded& event) {
+    take_report(event.engine, event.report);
+    const auto found = requests_.find(event.request);
+    if (found == requests_.end() || event.attempt >= found->second.attempts.size()) return;
+    Request& r = found->second;
+    Attempt& a = r.attempts[event.attempt];
+    if (!a.out) return;
+    Engine& e = engines_.at(a.engine);
+    end_attempt(r, a);
+    const Result how = event.result;
+    a.may_have_run = how != Result::full && how != Result::connect_failed && how != Result::moot;
+    if (how == Result::served) learn(r, a, event, e);
+    if (how == Result::engine_error) judge_failed(e, Symptom::errors);
+    if (how == Result::connect_failed || how == Result::reset) judge_failed(e, Symptom::no_connection);
+    if (how == Result::full) e.full_until = now_ + full_rest;
+    if (r.key != 0 && (how == Result::timed_out || how == Result::reset || how == Result::cancelled)) {
+      rests_[r.key] = now_ + seconds(s_.order_settle) + (s_.order_settle.count() > 0 ? end_margin_ : 0.0);
+    }
+    if (event.request_over || how == Result::served) {
+      close_request(r);
+    } else if (r.over) {
+      forget_if_done(r.id);
+    } else if (!r.attempt_out()) {
+      may_go_on(r) ? hold(r) : answer(r);
+    }
+  }
+
+  void learn(const Request& r, const Attempt& a, const AttemptEnded& event, Engine& e) {
+    ClassState& c = classes_[r.cls];
+    const ClassSettings& k = s_.classes[r.cls];
+    const double ran = std::max(1e-4, seconds(event.took));
+    c.finished += a.base * k.threads;
+    c.latency_sum += now_ - r.arrived;
+    c.answers += 1;
+    const double work = event.work ? seconds(*event.work) : a.roomy ? ran * k.threads : 0.0;
+    if (work > 0 && r.cost_told) {
+      const double ratio = work / r.told;
+      c.samples += 1;
+      const double weight = std::max(learn_rate, 1 / (c.samples + 1));
+      const double surprise = event.work ? std::min(ratio, ratio_cap * c.bias) - c.bias
+                                         : c.bias * (ratio > c.bias ? run_quantile : run_quantile - 1);
+      c.scatter += weight * (std::abs(std::log(ratio / c.bias)) - c.scatter);
+      c.bias = std::clamp(c.bias + weight * surprise, 0.05, 20.0);
+    }
+    if (event.memory_mb && r.memory > 0) {
+      c.memory_samples += 1;
+      const double ratio = std::clamp(*event.memory_mb / r.memory, 0.05, 20.0);
+      c.memory_bias += std::max(learn_rate, 1 / (c.memory_samples + 1)) * (ratio - c.memory_bias);
+    }
+    const double alone = event.work ? std::max(1e-3, seconds(*event.work)) / k.threads : a.base;
+    const double pace = std::min(ran / alone, ratio_cap * c.pace);
+    c.pace_samples += 1;
+    c.pace += std::max(pace_rate, 1 / (c.pace_samples + 1)) * (pace - c.pace);
+    judge_served(e, pace / std::max(c.pace, 0.05));
+  }
+
+  void on(const ClientLeft& event) {
+    const auto found = requests_.find(event.request);
+    if (found == requests_.end() || found->second.over) return;
+    Request& r = found->second;
+    for (std::size_t i = 0; i < r.attempts.size(); ++i) {
+      if (r.attempts[i].out && s_.may_cancel && !r.streaming) {
+        out_->push_back(Cancel{r.id, static_cast<std::uint32_t>(i)});
+      }
+    }
+    close_request(r);
+  }
+
+  void on(const TimerFired&) {
+    while (!ends_.empty() && ends_.begin()->first - end_margin_ <= now_ + 1e-6) {
+      answer(requests_.at(ends_.begin()->second));
+    }
+    if (now_ < next_watch_) return;
+    next_watch_ = now_ + watch_period;
+    set_timer(watch_period);
+    if (now_ >= next_period_) {
+      next_period_ = now_ + period - watch_period / 2;
+      set_bounds();
+      drop_older(further_, s_.attempt_budget ? 2 * seconds(s_.attempt_budget->window) : 0.0);
+      for (auto& [id, e] : engines_) {
+        if (now_ >= e.cold_until) e.cold_sends.clear();
+      }
+    }
+    if (resubscribe_at_ > 0 && now_ >= resubscribe_at_ && s_.fleet_by_request) {
+      resubscribe_at_ = 0;
+      out_->push_back(SubscribeFleet{});
+    }
+    watch();
+  }
+
+  void on(const ProbeEnded& event) {
+    take_report(event.engine, event.report);
+    const auto found = engines_.find(event.engine);
+    if (found == engines_.end()) return;
+    Engine& e = found->second;
+    e.probing = false;
+    if (e.health != Health::shunned) return;
+    if (event.result == Result::served) {
+      on_sign_of_life(e);
+      e.health = Health::trial;
+      e.trial_good = 0;
+    } else {
+      e.shunned_until = now_ + shun_first;
+    }
+  }
+
+  template <typename Unused>
+  void on(const Unused&) {}  // notes and messages of peers decide nothing here
+
+  void take_report(EngineId id, const LoadReport& report) {
+    const auto found = engines_.find(id);
+    if (found == engines_.end() || !report.utilization) return;
+    if (std::isfinite(*report.utilization))
+      found->second.utilization = std::clamp(*report.utilization, 0.0, 2.0);
+  }
+
+  Settings s_;
+  std::vector<ClassState> classes_;
+  std::map<RequestId, Request> requests_;
+  std::map<EngineId, Engine> engines_;
+  std::set<std::pair<double, RequestId>> ends_;
+  std::map<std::uint64_t, std::vector<RequestId>> turns_;  // by order key: those not over, as they came
+  std::map<std::uint64_t, double> rests_;  // by order key: it rests until then
+  std::deque<double> taken_;
+  std::deque<double> further_;  // attempts beyond each request's first
+  std::deque<double> cuts_;
+  std::vector<double> tenant_tokens_;
+  double tokens_at_ = 0;
+  double instances_ = 1;
+  double end_margin_ = 0;
+  double threads_out_ = 0;
+  double now_ = 0, next_period_ = 0, next_watch_ = 0, resubscribe_at_ = 0;
+  TimePoint origin_{};
+  bool started_ = false;
+  std::vector<Action>* out_ = nullptr;
+};
+
+WorkloadManager::WorkloadManager(Settings settings) : impl_(std::make_unique<Impl>(std::move(settings))) {}
+WorkloadManager::~WorkloadManager() = default;
+WorkloadManager::WorkloadManager(WorkloadManager&&) noexcept = default;
+WorkloadManager& WorkloadManager::operator=(WorkloadManager&&) noexcept = default;
+
+void WorkloadManager::handle(TimePoint now, const Event& event, std::vector<Action>& actions) {
+  impl_->handle(now, event, actions);
+}
+
+}  // namespace paddlestand
--- /dev/null
+++ b/tests/harness.hpp
@@ -0,0 +1,149 @@
+// Drives a WorkloadManager with scripted events and keeps what it did.
+#pragma once
+
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "paddlestand/workload_manager.hpp"
+
+namespace paddlestand::test {
+
+using namespace std::chrono_literals;
+
+inline Settings small_site() {
+  Settings s;
+  s.instances = 1;
+  s.clock_step = 5ms;
+  ClassSettings quick;
+  quick.name = "quick";
+  quick.aim = 1s;
+  quick.aim_stretch = 2;
+  quick.deadline = 5s;
+  quick.worth = 1;
+  quick.threads = 1;
+  ClassSettings heavy = quick;
+  heavy.name = "heavy";
+  heavy.aim = 3s;
+  heavy.deadline = 15s;
+  heavy.worth = 6;
+  heavy.late_worth = 0.4;
+  heavy.threads = 2;
+  s.classes = {quick, heavy};
+  s.kinds = {{8, 16384}};
+  s.answers_tell_cost = true;
+  s.largest_grant_share = 0.4;
+  s.may_cancel = true;
+  s.may_probe = true;
+  s.most_attempts = 3;
+  s.answer_slack = 20ms;
+  s.drain_grace = 500ms;
+  s.cold_share = 0.3;
+  s.cold_time = 15s;
+  s.fall_multiple = 2.5;
+  s.fall_window = 1500ms;
+  return s;
+}
+
+class Desk {
+ public:
+  explicit Desk(Settings settings) : manager_(std::move(settings)) {}
+
+  void handle(const Event& event) {
+    std::vector<Action> actions;
+    manager_.handle(now_, event, actions);
+    for (Action& action : actions) {
+      if (const auto* timer = std::get_if<SetTimer>(&action))
+        timers_.emplace(now_ + timer->after, timer->token);
+      if (const auto* send = std::get_if<Send>(&action)) ++attempts_[send->request];
+      log_.emplace_back(now_, std::move(action));
+    }
+  }
+
+  // Lets time pass, firing timers as they come due.
+  void advance(Duration by) {
+    const TimePoint until = now_ + by;
+    while (!timers_.empty() && timers_.begin()->first <= until) {
+      const auto timer = *timers_.begin();
+      timers_.erase(timers_.begin());
+      now_ = std::max(now_, timer.first);
+      handle(TimerFired{timer.second});
+    }
+    now_ = until;
+  }
+
+  void fleet(std::vector<EngineEntry> engines, FleetScope scope = FleetScope::cached) {
+    handle(FleetChanged{scope, engines});
+  }
+
+  void request(RequestId id, std::uint32_t cls = 0, Duration cost = 100ms, std::uint64_t key = 0,
+               Duration patience = 5s) {
+    handle(RequestArrived{id, cls, 0, key, patience, cost, 10, static_cast<double>(id), false});
+  }
+
+  // Ends the latest attempt of a request.
+  void end(RequestId id, Result result, Duration work = 100ms) {
+    AttemptEnded event;
+    event.request = id;
+    event.attempt = attempts_.at(id) - 1;
+    event.engine = engine_of(id);
+    event.result = result;
+    event.took = work;
+    event.request_over = result == Result::served;
+    if (result == Result::served) event.work = work;
+    handle(event);
+  }
+
+  [[nodiscard]] EngineId engine_of(RequestId id) const {
+    EngineId engine = 0;
+    for (const auto& [at, action] : log_) {
+      if (const auto* send = std::get_if<Send>(&action); send != nullptr && send->request == id) {
+        engine = send->engine;
+      }
+    }
+    return engine;
+  }
+
+  template <typename T>
+  [[nodiscard]] int count(RequestId id) const {
+    int n = 0;
+    for (const auto& [at, action] : log_) {
+      if (const auto* item = std::get_if<T>(&action); item != nullptr && item->request == id) ++n;
+    }
+    return n;
+  }
+  [[nodiscard]] int sends(RequestId id) const { return count<Send>(id); }
+  [[nodiscard]] int sends_to(EngineId engine) const {
+    int n = 0;
+    for (const auto& [at, action] : log_) {
+      if (const auto* send = std::get_if<Send>(&action); send != nullptr && send->engine == engine) ++n;
+    }
+    return n;
+  }
+  [[nodiscard]] bool logged(const std::string& part) const {
+    for (const auto& [at, action] : log_) {
+      if (const auto* line = std::get_if<Log>(&action);
+          line != nullptr && line->text.find(part) != line->text.npos) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  [[nodiscard]] TimePoint now() const { return now_; }
+  [[nodiscard]] const std::vector<std::pair<TimePoint, Action>>& log() const { return log_; }
+
+ private:
+  WorkloadManager manager_;
+  TimePoint now_{1h};
+  std::multimap<TimePoint, std::uint32_t> timers_;
+  std::map<RequestId, std::uint32_t> attempts_;
+  std::vector<std::pair<TimePoint, Action>> log_;
+};
+
+inline EngineEntry engine(EngineId id, EngineState state = EngineState::ready, TimePoint started = 0s) {
+  return {id, state, 0, 0, 0, 1.0, started};
+}
+
+}  // namespace paddlestand::test
--- /dev/null
+++ b/tests/wire_test.cpp
@@ -0,0 +1,258 @@
+// The codec on hand-made frames, whole and cut at every byte.
+#include <gtest/gtest.h>
+
+#include <cstring>
+
+#include "settings_parser.hpp"
+#include "wire_host.hpp"
+
+namespace paddlestand::wire {
+namespace {
+
+class Frame {
+ public:
+  template <typename T>
+  Frame& put(T value) {
+    const auto at = bytes_.size();
+    bytes_.resize(at + sizeof(T));
+    std::memcpy(bytes_.data() + at, &value, sizeof(T));
+    return *this;
+  }
+  Frame& text(std::string_view value) {
+    put(static_cast<std::uint32_t>(value.size()));
+    bytes_.insert(bytes_.end(), value.begin(), value.end());
+    return *this;
+  }
+  Frame& record(std::uint8_t code) {
+    ++records_;
+    return put(code);
+  }
+  [[nodiscard]] std::vector<std::uint8_t> whole(std::uint64_t clock = 1'000'000'000,
+                                                std::uint32_t number = 5) const {
+    Frame out;
+    out.put(static_cast<std::uint32_t>(bytes_.size() + batch_header_bytes))
+        .put(records_)
+        .put(clock)
+        .put(number);
+    out.bytes_.insert(out.bytes_.end(), bytes_.begin(), bytes_.end());
+    return out.bytes_;
+  }
+
+ private:
+  std::vector<std::uint8_t> bytes_;
+  std::uint32_t records_ = 0;
+};
+
+constexpr std::string_view boot =
+    "balancers=1\ngranularity_ns=5000000\nclasses.count=1\nclasses.0.aim_ns=1000000000\n"
+    "classes.0.deadline_ns=5000000000\nclasses.0.gain=1.0\nclasses.0.repeat=pure\nclasses.0.key_scope=all\n"
+    "family_info.class_threads=1\nfamily_info.kind_cores=8\nfamily_info.size_mb=16384.0\n"
+    "permissions.max_attempts=3\npermissions.cancel=true\nreport.names=utilization\nnews.to_come=1\n";
+
+Frame& provision(Frame& f, std::uint16_t who, std::string_view text = boot) {
+  return f.record(8).put(who).put(std::uint64_t{42}).text(text);
+}
+Frame& list(Frame& f, std::uint32_t ref, std::vector<std::uint32_t> engines, std::uint8_t condition = 1) {
+  f.record(6).put(ref).put(static_cast<std::uint32_t>(engines.size()));
+  for (const auto id : engines) {
+    f.put(std::uint16_t{0}).put(condition).put(std::uint8_t{0}).put(1.0F).put(std::uint16_t{0}).put(id);
+    f.put(std::uint64_t{0});
+  }
+  return f;
+}
+Frame& roster(Frame& f, std::uint16_t who, std::uint32_t ref, std::uint8_t scope) {
+  return f.record(9).put(who).put(ref).put(std::uint64_t{1}).put(scope);
+}
+Frame& call(Frame& f, std::uint16_t who, std::uint64_t id, std::uint8_t cls = 0) {
+  f.record(7).put(who).put(id).put(cls).put(std::uint16_t{0}).put(std::uint64_t{0});
+  return f.put(std::uint64_t{5'000'000'000})
+      .put(std::uint64_t{12'000'000})
+      .put(390.0F)
+      .put(11.0F)
+      .put(std::uint8_t{1});
+}
+Frame& left(Frame& f, std::uint16_t who, std::uint64_t id) { return f.record(12).put(who).put(id); }
+
+// The engines named by the sends of a reply.
+std::vector<std::uint32_t> sends(const std::vector<std::uint8_t>& reply) {
+  std::vector<std::uint32_t> out;
+  for (std::size_t at = 8; at < reply.size();) {
+    std::uint16_t n = 0;
+    switch (reply[at]) {
+      case 1: at += 19; break;
+      case 2: at += 13; break;
+      case 5: {
+        std::uint32_t engine = 0;
+        std::memcpy(&engine, reply.data() + at + 19, 4);
+        out.push_back(engine);
+        at += 23;
+        break;
+      }
+      case 6: at += 16; break;
+      case 7:
+      case 10:
+        std::memcpy(&n, reply.data() + at + 3, 2);
+        at += 5U + n;
+        break;
+      case 8: at += 7; break;
+      case 9: at += 4; break;
+      case 12: at += 11; break;
+      case 13: at += 15; break;
+      default: ADD_FAILURE() << "unknown action " << int{reply[at]}; return out;
+    }
+  }
+  return out;
+}
+
+TEST(Wire, AnEmptyBatchGetsAnEmptyReply) {
+  WireHost host;
+  const auto reply = host.reply_to(Frame{}.whole(7, 1));
+  const std::vector<std::uint8_t> wanted{8, 0, 0, 0, 1, 0, 0, 0};
+  EXPECT_EQ(reply, wanted);
+}
+
+TEST(Wire, ARequestIsSentToAnEngineOfTheList) {
+  WireHost host;
+  Frame f;
+  provision(f, 3);
+  list(f, 0, {77});
+  roster(f, 3, 0, 2);
+  call(f, 3, 0xFD50D5D3A91C4);
+  EXPECT_EQ(sends(host.reply_to(f.whole())), std::vector<std::uint32_t>{77});
+}
+
+TEST(Wire, ListNumbersAreResolvedInOrder) {
+  WireHost host;
+  Frame f;
+  provision(f, 1);
+  provision(f, 2);
+  list(f, 0, {11});
+  roster(f, 1, 0, 1);
+  list(f, 0, {22});
+  roster(f, 2, 0, 1);
+  call(f, 1, 1);
+  call(f, 2, 2);
+  const std::vector<std::uint32_t> wanted{11, 22};
+  EXPECT_EQ(sends(host.reply_to(f.whole())), wanted);
+}
+
+TEST(Wire, KillAndProvisionInOneBatchForgetsAll) {
+  WireHost host;
+  Frame first;
+  provision(first, 1);
+  list(first, 0, {11});
+  roster(first, 1, 0, 2);
+  call(first, 1, 1);
+  host.reply_to(first.whole());
+  Frame second;
+  second.record(11).put(std::uint16_t{1});
+  provision(second, 1);
+  list(second, 0, {22});
+  roster(second, 1, 0, 2);
+  left(second, 1, 1);
+  call(second, 1, 1);
+  EXPECT_EQ(sends(host.reply_to(second.whole(2'000'000'000))), std::vector<std::uint32_t>{22});
+}
+
+TEST(Wire, DeltasAndFailuresKeepTheRestOfTheList) {
+  WireHost host;
+  Frame f;
+  provision(f, 1);
+  list(f, 0, {11, 12});
+  roster(f, 1, 0, 2);
+  list(f, 1, {11}, 0);
+  roster(f, 1, 1, 0);
+  roster(f, 1, 99, 3);
+  call(f, 1, 1);
+  EXPECT_EQ(sends(host.reply_to(f.whole())), std::vector<std::uint32_t>{12});
+}
+
+TEST(Wire, EventsForUnknownRequestsAreIgnored) {
+  WireHost host;
+  Frame f;
+  provision(f, 1);
+  left(f, 1, 999);
+  f.record(1).put(std::uint16_t{1}).put(std::uint64_t{999}).put(std::uint16_t{0}).put(std::uint32_t{5});
+  f.put(std::uint8_t{1}).put(0.5F);
+  f.record(5).put(std::uint16_t{1}).put(std::uint16_t{2}).put(std::uint16_t{2}).put(std::uint16_t{0});
+  f.record(10).put(std::uint16_t{1}).put(std::uint16_t{200}).put(std::uint32_t{5}).put(std::uint64_t{1});
+  f.put(std::uint8_t{0});
+  EXPECT_TRUE(sends(host.reply_to(f.whole())).empty());
+}
+
+TEST(Wire, AFrameCutAnywhereIsRefusedWithAMessage) {
+  Frame f;
+  provision(f, 3);
+  list(f, 0, {77});
+  roster(f, 3, 0, 2);
+  call(f, 3, 1);
+  const auto whole = f.whole();
+  for (std::size_t cut = 0; cut < whole.size(); ++cut) {
+    std::vector<std::uint8_t> part(whole.begin(), whole.begin() + static_cast<std::ptrdiff_t>(cut));
+    const auto length = static_cast<std::uint32_t>(cut);
+    if (cut >= 4) std::memcpy(part.data(), &length, 4);
+    WireHost host;
+    EXPECT_THROW(host.reply_to(part), MalformedFrame) << cut;
+  }
+}
+
+TEST(Wire, NonsenseIsRefusedWithAMessage) {
+  const auto bad = [](Frame f) {
+    WireHost host;
+    EXPECT_THROW(host.reply_to(f.whole()), MalformedFrame);
+  };
+  bad(Frame{}.record(99).put(std::uint16_t{1}));
+  bad(Frame{}.record(12).put(std::uint16_t{1}).put(std::uint64_t{1}));
+  bad(Frame{}.record(6).put(std::uint32_t{16}).put(std::uint32_t{0}));
+  bad(Frame{}.record(6).put(std::uint32_t{0}).put(std::uint32_t{0xFFFFFFFF}));
+  bad(Frame{}.put(std::uint8_t{0}));
+  const std::uint8_t tiny[] = {19, 0, 0, 0};
+  const std::uint8_t huge[] = {255, 255, 255, 255};
+  EXPECT_THROW(frame_length(tiny), MalformedFrame);
+  EXPECT_THROW(frame_length(huge), MalformedFrame);
+}
+
+TEST(Wire, AnUnreadableSettingIsReportedByFault) {
+  WireHost host;
+  Frame f;
+  provision(f, 1, "balancers=three\n");
+  const auto reply = host.reply_to(f.whole());
+  ASSERT_GT(reply.size(), 13U);
+  EXPECT_EQ(reply[8], 10);
+  EXPECT_NE(std::string(reply.begin(), reply.end()).find("balancers"), std::string::npos);
+}
+
+TEST(Wire, AMegabyteBatchIsTaken) {
+  WireHost host;
+  Frame f;
+  provision(f, 1);
+  list(f, 0, {1, 2, 3});
+  roster(f, 1, 0, 2);
+  for (std::uint64_t id = 1; id <= 25'000; ++id) call(f, 1, id);
+  const auto batch = f.whole();
+  ASSERT_GT(batch.size(), 1'000'000U);
+  EXPECT_FALSE(sends(host.reply_to(batch)).empty());
+}
+
+TEST(SettingsParser, ReadsWhatItKnowsAndSkipsTheRest) {
+  const auto parsed = parse_settings(boot);
+  ASSERT_TRUE(std::holds_alternative<ParsedSettings>(parsed));
+  const Settings& s = std::get<ParsedSettings>(parsed).settings;
+  ASSERT_EQ(s.classes.size(), 1U);
+  EXPECT_EQ(s.classes[0].aim, std::chrono::seconds(1));
+  EXPECT_EQ(s.classes[0].repeat, Repeat::safe);
+  EXPECT_EQ(s.most_attempts, 3U);
+  EXPECT_FALSE(s.attempt_budget.has_value());
+  EXPECT_FALSE(s.classes[0].allowed_kinds.has_value());
+}
+
+TEST(SettingsParser, SaysWhatItCannotRead) {
+  for (const auto* text :
+       {"classes.count=1\nclasses.0.repeat=perhaps\n", "permissions.cancel=maybe\n", "no equals\n",
+        "rules.cold_ns=-5\n", "classes.count=99999999\n", "balancers=nan\n"}) {
+    EXPECT_TRUE(std::holds_alternative<std::string>(parse_settings(text))) << text;
+  }
+}
+
+}  // namespace
+}  // namespace paddlestand::wire
