The tick no longer misses itself

Cause: the next tick was due at now + 50 ms and a rounding error could make the timer come a hair early; no new timer was set then, and bounds, health and hopeless held queries stood still until some deadline timer woke them.

--- a/src/workload_manager.cpp
+++ b/src/workload_manager.cpp
@@ -851,7 +851,7 @@
       answer(requests_.at(ends_.begin()->second));
     }
     if (now_ < next_watch_) return;
-    next_watch_ = now_ + watch_period;
+    next_watch_ = now_ + watch_period / 2;  // deadline timers wake this too; the tick must not miss itself
     set_timer(watch_period);
     if (now_ >= next_period_) {
       next_period_ = now_ + period - watch_period / 2;
