Silence needs two overdue attempts, or one twice overdue

Cause: a bad plan alone on its engine read as a silent engine. It also holds against locks; it may find a hung engine a second later where traffic is thin.

--- a/src/workload_manager.cpp
+++ b/src/workload_manager.cpp
@@ -454,14 +454,15 @@
         if (!a.out || a.cut) continue;
         Out& o = outs[a.engine];
         o.all += 1;
-        if (now_ - a.sent > overdue_times * expected_run(r, a) + overdue_slack) o.overdue += 1;
+        const double due = overdue_times * expected_run(r, a) + overdue_slack;
+        o.overdue += now_ - a.sent > 2 * due ? 2 : now_ - a.sent > due ? 1 : 0;
       }
     }
     for (const RequestId id : late) answer(requests_.at(id));
     for (auto& [id, e] : engines_) {
       const Out& o = outs[id];
       const bool quiet = now_ - std::max(e.last_answer, e.first_out) > silent_after;
-      if (quiet && o.overdue > 0 && (o.overdue >= 2 || o.overdue == o.all) && may_shun_more()) {
+      if (quiet && o.overdue >= 2 && may_shun_more()) {
         shun(e, Symptom::silence);
       }
       if (e.health == Health::well && e.slow > slow_shun * median_slow() && may_shun_more()) {
