--- a/src/workload_manager.cpp
+++ b/src/workload_manager.cpp
@@ -31,6 +31,8 @@
 constexpr double rate_down = 0.1;  // weight of a slower one in which the class was held back
 constexpr double rate_forget = 0.998;  // per period otherwise: light load tells nothing of capacity
 constexpr double crowd = 4.0;  // threads a core, all gateways together: many wait for disks or locks
+constexpr double busy_report = 0.9;  // share of the cores busy from which a report means pressure
+constexpr double unpressed = 2.0;    // times the bound of an engine that reports less
 constexpr double learn_rate = 0.03;  // least weight of one answer in a class's learned figures
 constexpr double pace_rate = 0.1;  // least weight of one answer in the learned pace
 constexpr double run_quantile = 0.5;  // of run times where they stand for work: waits only lengthen them
@@ -124,6 +126,7 @@
   double last_answer = -1e9, full_until = -1e9, cold_until = -1e9;
   double first_out = 0;  // since when something of ours is out without a break
   double utilization = 0;
+  bool reported = false;
   Health health = Health::well;
   Symptom symptom = Symptom::errors;
   double shunned_until = 0, shun_length = shun_first;
@@ -552,7 +555,9 @@
 
   double bound_of(const Engine& e) const {
     const double part = now_ < e.cold_until ? std::clamp(s_.cold_share, 0.1, 1.0) : 1.0;
-    return e.cores * crowd * part / (instances_ * std::clamp(e.slow / median_slow(), 1.0, 4.0));
+    // Without a busy report there is no pressure: the bound gives way.
+    const double room = e.reported && e.utilization < busy_report ? unpressed : 1.0;
+    return e.cores * crowd * room * part / (instances_ * std::clamp(e.slow / median_slow(), 1.0, 4.0));
   }
   double thread_bound() const {
     double all = 0;
@@ -582,8 +587,6 @@
       if (trial && (e.queries > 0 || k.repeat != Repeat::safe)) continue;
       const double bound = bound_of(e);
       if (e.threads > 0 && e.threads + k.threads > bound) continue;
-      // Better to wait here, in order of arrival, than in the engine's line for memory.
-      if (e.queries > 0 && e.memory_mb > 0 && e.memory + granted(r) > e.memory_mb / instances_) continue;
       double load = (e.threads + k.threads) / std::max(bound, 1e-3) + 0.3 * e.utilization;
       if (std::find(e.warm.begin(), e.warm.end(), r.tables) != e.warm.end()) load -= warm_bonus;
       if ((k.waits_for_writers || k.writes_tables) && e.writers.contains(r.tables)) load += writer_penalty;
@@ -890,9 +893,9 @@
 
   void take_report(EngineId id, const LoadReport& report) {
     const auto found = engines_.find(id);
-    if (found == engines_.end() || !report.utilization) return;
-    if (std::isfinite(*report.utilization))
-      found->second.utilization = std::clamp(*report.utilization, 0.0, 2.0);
+    if (found == engines_.end() || !report.utilization || !std::isfinite(*report.utilization)) return;
+    found->second.reported = true;
+    found->second.utilization = std::clamp(*report.utilization, 0.0, 2.0);
   }
 
   Settings s_;
