--- a/src/workload_manager.cpp
+++ b/src/workload_manager.cpp
@@ -31,6 +31,7 @@
 constexpr double rate_down = 0.1;  // weight of a slower one in which the class was held back
 constexpr double rate_forget = 0.998;  // per period otherwise: light load tells nothing of capacity
 constexpr double crowd = 4.0;  // threads a core, all gateways together: many wait for disks or locks
+constexpr double pressed_share = 0.8;  // of the thread bound: a key that waits its turn is no pressure
 constexpr double busy_report = 0.9;  // share of the cores busy from which a report means pressure
 constexpr double unpressed = 2.0;    // times the bound of an engine that reports less
 constexpr double learn_rate = 0.03;  // least weight of one answer in a class's learned figures
@@ -241,7 +242,7 @@
     return c.queue.empty() && !pressed();
   }
 
-  bool pressed() const { return threads_out_ >= 0.8 * thread_bound() || any_held(); }
+  bool pressed() const { return threads_out_ >= pressed_share * thread_bound(); }
   bool any_held() const {
     return std::any_of(classes_.begin(), classes_.end(),
                        [](const ClassState& c) { return !c.queue.empty(); });
