--- a/src/workload_manager.cpp
+++ b/src/workload_manager.cpp
@@ -126,7 +126,7 @@
   double failures = 0, slow = 1;  // share that failed, pace against its peers
   double last_answer = -1e9, full_until = -1e9, cold_until = -1e9;
   double first_out = 0;  // since when something of ours is out without a break
-  double utilization = 0, probed_at = -1e9;
+  double utilization = 0;
   bool reported = false;
   Health health = Health::well;
   Symptom symptom = Symptom::errors;
@@ -459,20 +459,15 @@
         Out& o = outs[a.engine];
         o.all += 1;
         const double due = overdue_times * expected_run(r, a) + overdue_slack;
-        o.overdue += now_ - a.sent > due ? 1 : 0;
+        o.overdue += now_ - a.sent > 2 * due ? 2 : now_ - a.sent > due ? 1 : 0;
       }
     }
     for (const RequestId id : late) answer(requests_.at(id));
     for (auto& [id, e] : engines_) {
       const Out& o = outs[id];
       const bool quiet = now_ - std::max(e.last_answer, e.first_out) > silent_after;
-      if (quiet && o.overdue >= 1 && may_shun_more()) {
-        // One overdue attempt may be a bad plan alone on its engine: a probe tells, where probes are allowed.
-        if (o.overdue >= 2 || !s_.may_probe) {
-          shun(e, Symptom::silence);
-        } else if (e.health == Health::well && !e.probing && now_ > e.probed_at + period) {
-          probe(e);
-        }
+      if (quiet && o.overdue >= 2 && may_shun_more()) {
+        shun(e, Symptom::silence);
       }
       if (e.health == Health::well && e.slow > slow_shun * median_slow() && may_shun_more()) {
         shun(e, Symptom::slowness);
@@ -492,17 +487,12 @@
     return std::max(1.0, all[all.size() / 2]);
   }
 
-  void probe(Engine& e) {
-    e.probing = true;
-    e.probed_at = now_;
-    out_->push_back(Probe{e.entry.engine});
-  }
-
   // A silent engine must first answer a probe, where probes are allowed; a shallow sign of life is not
   // health, so a trial of single queries follows.
   void try_again(Engine& e) {
     if (s_.may_probe && (e.symptom == Symptom::silence || e.symptom == Symptom::no_connection)) {
-      probe(e);
+      e.probing = true;
+      out_->push_back(Probe{e.entry.engine});
     } else {
       e.health = Health::trial;
       e.trial_good = 0;
@@ -889,10 +879,7 @@
     if (found == engines_.end()) return;
     Engine& e = found->second;
     e.probing = false;
-    if (e.health == Health::well && event.result != Result::served && may_shun_more()) {
-      shun(e, Symptom::silence);
-    }
-    if (e.health != Health::shunned || event.result == Result::full) return;
+    if (e.health != Health::shunned) return;
     if (event.result == Result::served) {
       on_sign_of_life(e);
       e.health = Health::trial;
