--- a/src/workload_manager.cpp
+++ b/src/workload_manager.cpp
@@ -345,7 +345,7 @@
   }
 
   Duration retry_advice(const Request& r) const {
-    if (!s_.may_advise_retry) return Duration{0};
+    if (!s_.may_advise_retry) return {};
     const ClassState& c = classes_[r.cls];
     const double wait = period / 2 + c.queued / std::max(c.rate, 1e-3);
     return std::min(s_.longest_retry_advice, duration(wait));
