Cut bad plans earlier, and rarer where cuts do not pay

It should hold against any attempt stuck by chance; it may waste work while a shared slowness begins, until the yield has told.

--- a/src/workload_manager.cpp
+++ b/src/workload_manager.cpp
@@ -33,7 +33,7 @@
 constexpr double crowd = 4.0;  // threads a core, all gateways together: many wait for disks or locks
 constexpr double pressed_share = 0.8;  // of the thread bound: a key that waits its turn is no pressure
 constexpr double busy_report = 0.9;  // share of the cores busy from which a report means pressure
-constexpr double unpressed = 2.0;    // times the bound of an engine that reports less
+constexpr double unpressed = 2.0;  // times the bound of an engine that reports less
 constexpr double learn_rate = 0.03;  // least weight of one answer in a class's learned figures
 constexpr double pace_rate = 0.1;  // least weight of one answer in the learned pace
 constexpr double run_quantile = 0.5;  // of run times where they stand for work: waits only lengthen them
@@ -41,8 +41,10 @@
 constexpr double overdue_times = 3;  // expected run times after which an attempt is overdue
 constexpr double overdue_slack = 0.4;  // s, added to it: network, lines and scatter of short queries
 constexpr double silent_after = 0.6;  // s without an answer while attempts are overdue
-constexpr double cut_times = 3;  // expected run times after which a bad plan is likelier than a long query
-constexpr double cut_slack = 0.5;  // s, added to it
+constexpr double cut_times = 2;  // expected run times after which a bad plan is likelier than a long query
+constexpr double cut_slack = 0.25;  // s, added to it
+constexpr double cut_scatter = 1.3;  // of the scatter of a class's estimates, in the exponent of these times
+constexpr double cut_doubt = 0.4;  // share of cuts that paid below which these times double
 constexpr double cut_floor = 3;  // cuts allowed in cut_window at the least
 constexpr double cut_share = 0.2;  // and this share of the requests taken: no storm of cuts when all is slow
 constexpr double cut_window = 5;  // s
@@ -76,7 +78,7 @@
   double sent{};
   double base{};  // s that it would run alone: cost over threads
   double memory{};  // granted, MB
-  bool out = true, cut = false;
+  bool out = true, cut = false, cut_well = false;
   bool may_have_run = true;  // until its outcome proves otherwise
   bool roomy = false;  // its engine had cores to spare for it
   bool charged = false;  // counted in the class's running cost
@@ -112,6 +114,7 @@
   double mean_cost = 0, arrivals = 0;
   double memory_bias = 1, memory_samples = 0;
   double pace = 1, pace_samples = 0;  // run time over time alone, lately
+  double cut_yield = 0.6;  // share of cuts on well engines that paid
   bool held_back = false, closed = false;
 };
 
@@ -206,8 +209,7 @@
       const ClassSettings& k = s_.classes[i];
       const double usual_aim = seconds(k.aim) + k.aim_stretch * c.mean_cost * c.bias / k.threads;
       const double aim = headroom * (present > 0 ? mix / present : usual_aim);
-      // The ceiling: what drains within the aim. Queue limit times largest cost alone lets a queue of one
-      // rare heavy query's size build up, which takes many aims to drain.
+      // The ceiling: what drains within the aim; one rare heavy query must not allow a queue of many aims.
       const double max_data = std::min(queue_limit * std::max(c.largest, 1e-3), c.rate * aim);
       const double b_f = 2 * c.rate * (aim - now_ + (oldest + newest) / 2) - c.running;
       if (c.answers + late > 0) {
@@ -225,8 +227,7 @@
     }
   }
 
-  // Cost finished per second measures arrivals while load is light, so the best rate seen counts, slowly
-  // forgotten; a lower one is learned only where the class was held back all period.
+  // The best rate seen counts, slowly forgotten: while load is light, finished cost measures arrivals.
   void learn_rate_of(ClassState& c) {
     c.finish_rate += finish_smooth * (c.finished / period - c.finish_rate);
     const double seen = c.finish_rate;
@@ -234,8 +235,7 @@
     c.rate = weight > 0 ? c.rate + weight * (seen - c.rate) : c.rate * rate_forget;
   }
 
-  // Admit only what fits the bound. The one exception: nothing of the class is held and engines are free, so
-  // that a small bound does not shut an idle class.
+  // Admit what fits the bound; or what is alone in its class while engines are free, lest a class be shut.
   bool admits(const Request& r) const {
     const ClassState& c = classes_[r.cls];
     if (cost_of(r) + c.queued <= c.b_total) return !(r.over_share && pressed());
@@ -243,10 +243,6 @@
   }
 
   bool pressed() const { return threads_out_ >= pressed_share * thread_bound(); }
-  bool any_held() const {
-    return std::any_of(classes_.begin(), classes_.end(),
-                       [](const ClassState& c) { return !c.queue.empty(); });
-  }
 
   // ---- 3. Ledger of requests and attempts ----
 
@@ -333,13 +329,17 @@
     classes_[r.cls].running = std::max(0.0, classes_[r.cls].running - cost);
   }
 
+  void cancel_all(const Request& r) {
+    for (std::size_t i = 0; i < r.attempts.size() && s_.may_cancel && !r.streaming; ++i) {
+      if (r.attempts[i].out) out_->push_back(Cancel{r.id, static_cast<std::uint32_t>(i)});
+    }
+  }
+
   // The final answer, at once: a refusal where trying again is harmless, else a failure.
   void answer(Request& r) {
     if (r.over) return;
     unhold(r);
-    for (std::size_t i = 0; i < r.attempts.size(); ++i) {
-      if (r.attempts[i].out && s_.may_cancel) out_->push_back(Cancel{r.id, static_cast<std::uint32_t>(i)});
-    }
+    cancel_all(r);
     out_->push_back(may_refuse(r) ? Action{Refuse{r.id, retry_advice(r)}} : Action{Fail{r.id}});
     close_request(r);
   }
@@ -382,8 +382,7 @@
         std::count_if(engines_.begin(), engines_.end(), [](const auto& e) { return e.second.ready(); }));
   }
 
-  // Never so many shunned for slowness or silence that the rest must fall: what strikes more than half of the
-  // engines together is no reason to shun any one.
+  // What strikes more than half of the engines together is no reason to shun any one: the rest would fall.
   bool may_shun_more() const {
     const auto shunned = std::count_if(engines_.begin(), engines_.end(), [](const auto& e) {
       return e.second.ready() && e.second.health != Health::well;
@@ -466,9 +465,7 @@
     for (auto& [id, e] : engines_) {
       const Out& o = outs[id];
       const bool quiet = now_ - std::max(e.last_answer, e.first_out) > silent_after;
-      if (quiet && o.overdue >= 2 && may_shun_more()) {
-        shun(e, Symptom::silence);
-      }
+      if (quiet && o.overdue >= 2 && may_shun_more()) { shun(e, Symptom::silence); }
       if (e.health == Health::well && e.slow > slow_shun * median_slow() && may_shun_more()) {
         shun(e, Symptom::slowness);
       }
@@ -487,8 +484,7 @@
     return std::max(1.0, all[all.size() / 2]);
   }
 
-  // A silent engine must first answer a probe, where probes are allowed; a shallow sign of life is not
-  // health, so a trial of single queries follows.
+  // A silent engine must first answer a probe; that is no health yet, so a trial of single queries follows.
   void try_again(Engine& e) {
     if (s_.may_probe && (e.symptom == Symptom::silence || e.symptom == Symptom::no_connection)) {
       e.probing = true;
@@ -508,13 +504,18 @@
       Attempt& a = r.attempts.back();
       if (!a.out || a.cut || !may_go_on(r)) continue;
       const bool ill = engines_.at(a.engine).health != Health::well;
-      const ClassState& c = classes_[r.cls];
-      const double times = ill ? overdue_times : std::max(cut_times, std::exp(2 * c.scatter));
+      ClassState& c = classes_[r.cls];
+      const double times =
+          ill ? overdue_times
+              : std::max(cut_times, std::exp(cut_scatter * c.scatter)) * (c.cut_yield < cut_doubt ? 2 : 1);
       if (!ill && c.pace_samples < 10) continue;
       if (now_ - a.sent < times * expected_run(r, a) + (ill ? overdue_slack : cut_slack)) continue;
       if (static_cast<double>(cuts_.size()) >= cut_floor + cut_share * taken_lately(cut_window)) return;
       cuts_.push_back(now_);
       a.cut = true;
+      a.cut_well = !ill;
+      // A cut pays when the next attempt is quick; a query cut twice was only long, or all was slow.
+      if (r.attempts.size() > 1 && !ill) c.cut_yield -= pace_rate * c.cut_yield;
       out_->push_back(Cancel{r.id, static_cast<std::uint32_t>(r.attempts.size() - 1)});
     }
   }
@@ -604,12 +605,12 @@
 
   // Held queries leave in order of arrival within their class; the class worth most for its work goes first.
   void pump() {
-    if (!any_held()) return;
-    const double total = thread_bound();
     std::vector<std::size_t> order;
     for (std::size_t i = 0; i < classes_.size(); ++i) {
       if (!classes_[i].queue.empty()) order.push_back(i);
     }
+    if (order.empty()) return;
+    const double total = thread_bound();
     const auto density = [this](std::size_t i) {
       return worth_density(static_cast<std::uint32_t>(i), classes_[i].mean_cost * classes_[i].bias);
     };
@@ -712,9 +713,8 @@
       resubscribe_at_ = now_ + period;
       return;
     }
-    if (event.scope != FleetScope::delta) {
+    if (event.scope != FleetScope::delta)
       for (auto& [id, e] : engines_) e.listed = false;
-    }
     for (const EngineEntry& entry : event.engines) {
       const auto [place, fresh] = engines_.try_emplace(entry.engine);
       Engine& e = place->second;
@@ -835,6 +835,9 @@
     const double alone = event.work ? std::max(1e-3, seconds(*event.work)) / k.threads : a.base;
     const double pace = std::min(ran / alone, ratio_cap * c.pace);
     c.pace_samples += 1;
+    if (r.attempts.size() > 1 && r.attempts[r.attempts.size() - 2].cut_well) {
+      c.cut_yield += pace_rate * ((ran < cut_times * a.base * std::max(1.0, c.pace) ? 1 : 0) - c.cut_yield);
+    }
     c.pace += std::max(pace_rate, 1 / (c.pace_samples + 1)) * (pace - c.pace);
     judge_served(e, pace / std::max(c.pace, 0.05));
   }
@@ -843,11 +846,7 @@
     const auto found = requests_.find(event.request);
     if (found == requests_.end() || found->second.over) return;
     Request& r = found->second;
-    for (std::size_t i = 0; i < r.attempts.size(); ++i) {
-      if (r.attempts[i].out && s_.may_cancel && !r.streaming) {
-        out_->push_back(Cancel{r.id, static_cast<std::uint32_t>(i)});
-      }
-    }
+    cancel_all(r);
     close_request(r);
   }
 
