--- a/src/workload_manager.cpp
+++ b/src/workload_manager.cpp
@@ -25,6 +25,7 @@
 constexpr double period = 1.0;  // s: every bound is set anew once a period (design page)
 constexpr double watch_period = 0.05;  // s: how often overdue attempts and hopeless held queries are sought
 constexpr double headroom = 0.7;  // of the aim: a mean at the aim itself would leave half of all late
+constexpr double crack = 0.1;  // of max_data: left open under any pressure, for light queries
 constexpr double queue_limit = 2;  // largest costs: max_data of the design is this times the largest cost
 constexpr double finish_smooth = 0.25;  // of one period in the finished cost per second: one query is no rate
 constexpr double rate_up = 0.5;  // weight of a period that drained faster than any seen lately
@@ -81,7 +82,7 @@
   bool out = true, cut = false, cut_well = false;
   bool may_have_run = true;  // until its outcome proves otherwise
   bool roomy = false;  // its engine had cores to spare for it
-  bool charged = false;  // counted in the class's running cost
+  bool charged = true;  // counted in the class's running cost
 };
 
 struct Request {
@@ -218,8 +219,9 @@
         c.last_error = error;
       }
       c.b_delta = std::clamp(c.b_delta, -max_data, max_data);
-      c.b_total = std::clamp(b_f + c.b_delta, 0.0, max_data);
-      const bool closed = c.b_total <= 0;
+      // Never shut wholly: that would refuse light queries along with heavy ones, as if cost did not count.
+      c.b_total = std::clamp(b_f + c.b_delta, crack * max_data, max_data);
+      const bool closed = c.b_total <= crack * max_data;
       if (closed != c.closed) log("class " + std::to_string(i) + (closed ? " bound closed" : " bound open"));
       c.closed = closed;
       c.finished = c.latency_sum = c.answers = 0;
@@ -230,9 +232,8 @@
   // The best rate seen counts, slowly forgotten: while load is light, finished cost measures arrivals.
   void learn_rate_of(ClassState& c) {
     c.finish_rate += finish_smooth * (c.finished / period - c.finish_rate);
-    const double seen = c.finish_rate;
-    const double weight = seen > c.rate ? rate_up : c.held_back && !c.queue.empty() ? rate_down : 0;
-    c.rate = weight > 0 ? c.rate + weight * (seen - c.rate) : c.rate * rate_forget;
+    const double weight = c.finish_rate > c.rate ? rate_up : c.held_back && !c.queue.empty() ? rate_down : 0;
+    c.rate = weight > 0 ? c.rate + weight * (c.finish_rate - c.rate) : c.rate * rate_forget;
   }
 
   // Admit what fits the bound; or what is alone in its class while engines are free, lest a class be shut.
@@ -288,7 +289,6 @@
     a.sent = now_;
     a.base = cost_of(r) / k.threads;
     a.memory = granted(r);
-    a.charged = true;
     if (!r.attempts.empty()) further_.push_back(now_);
     if (now_ < e.cold_until) e.cold_sends.emplace_back(now_, usual_work(r.cls));
     if (e.queries == 0) e.first_out = now_;
--- a/tests/module_test.cpp
+++ b/tests/module_test.cpp
@@ -73,6 +73,30 @@
   EXPECT_EQ(desk.sends(2), 1);
 }
 
+// Guards against a bound that shuts wholly: light queries must still pass where heavy ones do not.
+TEST(ClassBound, UnderLastingPressureLightQueriesStillPass) {
+  Desk desk(small_site());
+  desk.fleet({engine(1)});
+  RequestId id = 1;
+  for (; id <= 10; ++id) {
+    desk.request(id, 1, 4s, 0, 15s);
+    desk.end(id, Result::served, 4s);
+    desk.advance(200ms);
+  }
+  int light = 0;
+  int heavy = 0;
+  for (int step = 0; step < 200; ++step) {
+    const RequestId late = id;
+    desk.request(id++, 1, 8s, 0, 15s);
+    desk.request(id++, 1, 10ms, 0, 15s);
+    desk.advance(50ms);
+    heavy += desk.count<Refuse>(late);
+    light += desk.count<Refuse>(late + 1);
+  }
+  EXPECT_GT(heavy, 100);
+  EXPECT_LT(light, heavy / 2);
+}
+
 // Guards against the black hole: an engine that fails fast looks least loaded.
 TEST(Health, AnEngineThatFailsFastIsShunnedAndTriedAgain) {
   Desk desk(small_site());
