Remove state that nothing reads since the memory bar went

The memory granted on an attempt and on an engine, and an engine's size, were still kept up but decided nothing; an include of the settings parser was unused. No decision changes; all 49 tests pass.

--- a/adapter/settings_parser.cpp
+++ b/adapter/settings_parser.cpp
@@ -2,7 +2,6 @@
 
 #include <charconv>
 #include <cmath>
-#include <functional>
 #include <limits>
 #include <map>
 
--- a/src/workload_manager.cpp
+++ b/src/workload_manager.cpp
@@ -78,7 +78,6 @@
   EngineId engine{};
   double sent{};
   double base{};  // s that it would run alone: cost over threads
-  double memory{};  // granted, MB
   bool out = true, cut = false, cut_well = false;
   bool may_have_run = true;  // until its outcome proves otherwise
   bool roomy = false;  // its engine had cores to spare for it
@@ -125,8 +124,8 @@
 struct Engine {
   EngineEntry entry;
   bool listed = false, probing = false;
-  double cores = 1, memory_mb = 0;
-  double queries = 0, threads = 0, memory = 0;  // ours; memory as granted
+  double cores = 1;
+  double queries = 0, threads = 0;  // ours
   double failures = 0, slow = 1;  // share that failed, pace against its peers
   double last_answer = -1e9, full_until = -1e9, cold_until = -1e9;
   double first_out = 0;  // since when something of ours is out without a break
@@ -288,14 +287,12 @@
     a.engine = e.entry.engine;
     a.sent = now_;
     a.base = cost_of(r) / k.threads;
-    a.memory = granted(r);
     if (!r.attempts.empty()) further_.push_back(now_);
     if (now_ < e.cold_until) e.cold_sends.emplace_back(now_, usual_work(r.cls));
     if (e.queries == 0) e.first_out = now_;
     e.queries += 1;
     e.threads += k.threads;
     a.roomy = e.threads * instances_ <= e.cores;
-    e.memory += a.memory;
     threads_out_ += k.threads;
     classes_[r.cls].running += a.base * k.threads;
     if (k.writes_tables) ++e.writers[r.tables];
@@ -317,7 +314,6 @@
     Engine& e = engines_.at(a.engine);
     e.queries -= 1;
     e.threads -= k.threads;
-    e.memory -= a.memory;
     if (k.writes_tables && --e.writers[r.tables] <= 0) e.writers.erase(r.tables);
   }
 
@@ -723,7 +719,6 @@
       e.listed = entry.state != EngineState::gone;
       const bool known = entry.kind < s_.kinds.size();
       e.cores = known ? usable(s_.kinds[entry.kind].cores, 1.0) : 1.0;
-      e.memory_mb = known ? usable(s_.kinds[entry.kind].memory_mb, 0.0) : 0.0;
       if (entry.started.count() > 0) {
         const double warm_at = seconds(entry.started - origin_) + seconds(s_.cold_time);
         if (warm_at > now_) e.cold_until = std::max(e.cold_until, warm_at);
