Memory bounds where shortage pages or shrinks; peers tell heavy attempts; notes tell bad plans and lost answers

Telling each end at once flooded peers (2.1 messages a second and manager): ends wait 0.4 s, 350 deliveries a second. - notes come once a period: an attempt not heard of for 1.6 periods has ended unheard or hangs, one that progresses is not cut for its age, one whose whole run is 4 times what was expected and whose rest is longer than a new run has a bad plan. Also: a cold engine counts a query at least at its told cost; bound lines of the log, warm tables in the choice and streams out. Guards also against silent engines and any cause of slow memory. May hurt where notes are late or told memory lies far.

--- a/adapter/settings_parser.cpp
+++ b/adapter/settings_parser.cpp
@@ -214,6 +214,11 @@
   out.may_probe = in.flag("permissions.probes");
   out.may_advise_retry = in.flag("permissions.retry_after");
   out.may_run_twice_at_once = in.flag("permissions.parallel_tries");
+  out.may_tell_peers = in.flag("permissions.may_tell");
+  out.zone_price = in.number<double>("prices.cross_zone");
+  out.probe_price = in.number<double>("prices.probe");
+  out.told_attempt_bytes = told_attempt_bytes;
+  out.tell_price = in.number<double>("prices.peer");
   out.most_attempts = in.integer<std::uint32_t>("permissions.max_attempts");
   out.longest_retry_advice = in.time("permissions.max_retry_after_ns");
   out.answer_slack = in.time("rules.answer_slack_ns");
--- a/adapter/settings_parser.hpp
+++ b/adapter/settings_parser.hpp
@@ -10,6 +10,8 @@
 
 namespace paddlestand::wire {
 
+inline constexpr std::size_t told_attempt_bytes = 3;  // mark of the engine (2), threads and memory (1)
+
 struct ParsedSettings {
   Settings settings;
   std::vector<std::string> report_names;  // the order of the values in a load report
--- a/adapter/wire_host.cpp
+++ b/adapter/wire_host.cpp
@@ -33,6 +33,7 @@
 enum class ActionCode : std::uint8_t {
   reject = 1,
   recall = 2,
+  announce = 4,
   send = 5,
   set_terms = 6,
   trace = 7,
@@ -44,7 +45,9 @@
 };
 
 constexpr std::size_t most_text_bytes = 65535;
+constexpr std::size_t most_message_bytes = 256;
 constexpr std::size_t list_entry_bytes = 22;
+constexpr std::uint32_t every_peer = 0xffffffff;
 
 class Input {
  public:
@@ -149,6 +152,22 @@
   out.start(ActionCode::watch, who);
   out.put(std::uint8_t{1});
 }
+// An engine's mark is the lower half of its id. Threads take three bits, memory five, in 1/64 of the
+// engine's.
+void write(Output& out, std::uint16_t who, const TellPeers& action) {
+  std::string bytes;
+  for (const ToldAttempt& told : action.out) {
+    if (bytes.size() + told_attempt_bytes > most_message_bytes) break;
+    const auto threads = static_cast<std::uint32_t>(std::clamp(told.threads, 0.0, 7.0));
+    const auto memory = static_cast<std::uint32_t>(std::clamp(told.memory_share * 64, 0.0, 31.0) + 0.5);
+    bytes.push_back(static_cast<char>(told.engine & 255U));
+    bytes.push_back(static_cast<char>(told.engine >> 8U & 255U));
+    bytes.push_back(static_cast<char>(threads << 5U | std::min(memory, 31U)));
+  }
+  out.start(ActionCode::announce, who);
+  out.put(every_peer);
+  out.put_text(bytes);
+}
 void write(Output& out, std::uint16_t who, const Log& action) {
   out.start(ActionCode::trace, who);
   out.put_text(action.text);
@@ -189,7 +208,7 @@
     const auto value = static_cast<double>(in.take<float>());
     if (i >= names.size()) continue;
     if (names[i] == "outstanding") report.queries = value;
-    if (names[i] == "utilization") report.utilization = value;
+    if (names[i] == "backlog") report.waiting = value;
   }
   return report;
 }
@@ -236,6 +255,22 @@
   return event;
 }
 
+// What is no whole entry, or of an engine that is not known, is passed over: peers may run another build.
+std::uint16_t read_datagram(Input& in, const std::map<std::uint16_t, EngineId>& marks,
+                            std::vector<ToldAttempt>& told) {
+  const auto author = in.take<std::uint16_t>();
+  const auto bytes = in.take_bytes(in.take<std::uint16_t>());
+  told.clear();
+  for (std::size_t i = 0; i + told_attempt_bytes <= bytes.size(); i += told_attempt_bytes) {
+    const auto mark = static_cast<std::uint16_t>(bytes[i] | bytes[i + 1] << 8U);
+    const auto found = marks.find(mark);
+    if (found == marks.end()) continue;
+    told.push_back({found->second, static_cast<double>(bytes[i + 2] >> 5U),
+                    static_cast<double>(bytes[i + 2] & 31U) / 64});
+  }
+  return author;
+}
+
 Note read_note(Input& in) {
   Note event;
   event.request = in.take<std::uint64_t>();
@@ -322,15 +357,24 @@
         auto& good = std::get<ParsedSettings>(parsed);
         good.settings.seed = seed;
         const bool tells_cost = good.settings.answers_tell_cost;
-        instances_.insert_or_assign(who, Instance{WorkloadManager(std::move(good.settings)),
-                                                  std::move(good.report_names), tells_cost});
+        instances_.insert_or_assign(
+            who,
+            Instance{
+                WorkloadManager(std::move(good.settings)), std::move(good.report_names), tells_cost, {}});
         break;
       }
       case EventCode::kill:
         instance(who);
         instances_.erase(who);
         break;
-      case EventCode::roster_change: deliver(who, read_change(in, lists_)); break;
+      case EventCode::roster_change: {
+        const FleetChanged event = read_change(in, lists_);
+        auto& marks = instance(who).marks;
+        for (const auto& entry : event.engines)
+          marks[static_cast<std::uint16_t>(entry.engine)] = entry.engine;
+        deliver(who, event);
+        break;
+      }
       case EventCode::call: deliver(who, read_call(in)); break;
       case EventCode::under_way: {
         const AnswerStarted event{in.take<std::uint64_t>()};
@@ -345,11 +389,11 @@
       case EventCode::left: deliver(who, ClientLeft{in.take<std::uint64_t>()}); break;
       case EventCode::timeout_fired: deliver(who, TimerFired{in.take<std::uint32_t>()}); break;
       case EventCode::check_result: deliver(who, read_probe(in, instance(who).report_names)); break;
-      case EventCode::datagram:
-        in.take<std::uint16_t>();
-        in.take_bytes(in.take<std::uint16_t>());
-        deliver(who, PeerMessage{});
+      case EventCode::datagram: {
+        const auto author = read_datagram(in, instance(who).marks, told_);
+        deliver(who, PeerMessage{author, told_});
         break;
+      }
       case EventCode::snapshot_rows: break;
     }
   }
--- a/adapter/wire_host.hpp
+++ b/adapter/wire_host.hpp
@@ -35,11 +35,13 @@
     WorkloadManager manager;
     std::vector<std::string> report_names;
     bool tells_cost = false;
+    std::map<std::uint16_t, EngineId> marks;  // of the engines that its lists named, as peers call them
   };
 
   std::map<std::uint16_t, Instance> instances_;
   std::array<std::vector<EngineEntry>, 16> lists_;
   std::vector<Action> actions_;
+  std::vector<ToldAttempt> told_;
 };
 
 }  // namespace paddlestand::wire
--- a/include/paddlestand/workload_manager.hpp
+++ b/include/paddlestand/workload_manager.hpp
@@ -92,6 +92,13 @@
   bool may_probe{};
   bool may_advise_retry{};
   bool may_run_twice_at_once{};
+  bool may_tell_peers{};
+  // In points of the worth of a mean request: for each attempt that leaves the zone, each probe, each 256
+  // bytes that a peer is told.
+  double zone_price{};
+  double probe_price{};
+  double tell_price{};
+  double told_attempt_bytes{};  // that a told attempt takes in a message
   std::uint32_t most_attempts{};
   Duration longest_retry_advice{};
   Duration answer_slack{};
@@ -106,7 +113,7 @@
 
 struct LoadReport {
   std::optional<double> queries;  // held by the engine
-  std::optional<double> utilization;  // busy share of its cores
+  std::optional<double> waiting;  // queries that wait for its memory
 };
 
 struct EngineEntry {
@@ -167,7 +174,15 @@
   Duration took{};
   LoadReport report;
 };
-struct PeerMessage {};  // heard and not used
+struct ToldAttempt {
+  EngineId engine{};
+  double threads{};
+  double memory_share{};  // granted, of the engine's memory
+};
+struct PeerMessage {
+  std::uint32_t author{};  // position of the peer
+  std::span<const ToldAttempt> out;  // what it told of its attempts that are out; valid only during the call
+};
 
 using Event = std::variant<FleetChanged, RequestArrived, AnswerStarted, Note, AttemptEnded, ClientLeft,
                            TimerFired, ProbeEnded, PeerMessage>;
@@ -202,11 +217,15 @@
   double memory_mb{};  // zero: the engine's choice
 };
 struct SubscribeFleet {};
+struct TellPeers {  // all of them; what does not fit in one message is left out
+  std::vector<ToldAttempt> out;
+};
 struct Log {
   std::string text;
 };
 
-using Action = std::variant<Send, Cancel, Refuse, Fail, SetTimer, Probe, SetTerms, SubscribeFleet, Log>;
+using Action =
+    std::variant<Send, Cancel, Refuse, Fail, SetTimer, Probe, SetTerms, SubscribeFleet, TellPeers, Log>;
 
 // One workload manager. It owns no clock, no thread and no I/O: the same events give the same actions.
 class WorkloadManager {
--- a/src/workload_manager.cpp
+++ b/src/workload_manager.cpp
@@ -11,6 +11,7 @@
 #include <array>
 #include <cmath>
 #include <deque>
+#include <limits>
 #include <map>
 #include <random>
 #include <set>
@@ -43,12 +44,13 @@
 constexpr double pace_rate = 0.1;  // least weight of one answer in the learned pace
 constexpr double run_quantile = 0.5;  // of run times where they stand for work: waits only lengthen them
 constexpr double ratio_cap = 5;  // a single answer counts as at most this multiple of what was expected
-constexpr double overdue_times = 3;  // expected run times after which an attempt is overdue
-constexpr double overdue_slack = 0.4;  // s, added to it: network, lines and scatter of short queries
+constexpr double overdue_times = 3;  // expected run times after which an attempt speaks against its engine
 constexpr double silent_after = 0.6;  // s without an answer while attempts are overdue
 constexpr double cut_times = 2;  // expected run times after which a bad plan is likelier than a long query
 constexpr double cut_slack = 0.25;  // s, added to it
 constexpr double cut_scatter = 1.3;  // of the scatter of a class's estimates, in the exponent of these times
+constexpr double note_gap = 1.6;  // periods without a note after which an attempt has ended unheard, or hangs
+constexpr double plan_times = 4;  // of the expected run: with notes, between a long query and a bad plan
 constexpr double cut_floor = 3;  // cuts allowed in cut_window at the least
 constexpr double cut_share = 0.2;  // and this share of the requests taken: no storm of cuts when all is slow
 constexpr double cut_window = 5;  // s
@@ -63,11 +65,19 @@
 constexpr double busy_at_capacity = 0.68;  // cores busy where the rules speak of capacity, less for speed
 constexpr double cold_unit = 1.5;  // s of work: the least part of a cold budget that a manager can use
 constexpr double unlearned_times = 2;  // told costs count this much on a cold engine until answers told more
-constexpr double warm_bonus = 0.1;  // threads a core: tie-break for an engine that read the tables lately
 constexpr double writer_penalty = 4;  // threads a core: an engine where a load holds the tables
 constexpr double retried_penalty = 4;  // threads a core: an engine that this request was tried on
-constexpr std::size_t warm_tables = 4;  // groups that an engine is taken to keep warm
 constexpr double memory_quarter = 1.25;  // grant over the corrected estimate, as engines themselves choose
+constexpr double news_worth =
+    0.05;  // of a query's worth: what finding its engine may cost in messages or probes
+constexpr double news_rate = 350;  // messages a second that a manager may cause at its peers
+constexpr double news_most = 3;  // of them to all, at once
+constexpr double news_lag = 0.4;  // s: an end waits so long for a start to be told along
+constexpr double news_period = 2.0;  // s: what is out is told again after that, for what was lost
+constexpr double news_life = 5;  // s without news after which a peer's word counts no more
+constexpr double fleet_crowd = 1.75;  // threads a core of told queries, all managers together: near the knee
+constexpr double memory_fill =
+    0.8;  // of an engine's memory for told queries, where going past it slows or spills
 constexpr double end_margin_steps = 3;  // clock steps before the client's deadline at which all is answered
 constexpr double full_rest = 0.25;  // s without sends after an engine turned one away
 constexpr double budget_edge = 0.01;  // s: attempts are counted over so much more, requests over so much less
@@ -81,24 +91,20 @@
 
 struct Attempt {
   EngineId engine{};
-  double sent{};
   std::uint8_t lane{};  // its priority when sent
-  double base{};  // s that it would run alone: cost over threads
-  bool out = true, cut = false;
-  bool may_have_run = true;  // until its outcome proves otherwise
-  bool roomy = false;  // its engine had cores to spare for it
-  bool charged = true;  // counted in the class's running cost
+  double sent{}, base{}, memory{};  // base: s that it would run alone, cost over threads; memory: MB granted
+  double heard = -1, share = 0, share_at = 0;  // notes: the last; share done, and when that was told
+  bool out = true, cut = false, told = false, roomy = false;  // told to peers; its engine had cores to spare
+  bool may_have_run = true, charged = true;  // until proved otherwise; counted in the class's running cost
 };
 
 struct Request {
   RequestId id{};
   std::uint32_t cls{};
   std::uint64_t key{};
-  double arrived{}, deadline{};
-  double told{};  // told cost, or the class's mean where none was told
-  double memory{};  // told memory need, MB; 0: not told
-  double tables{};
-  bool cost_told = false, over_share = false, held = false, streaming = false, over = false;
+  double arrived{}, deadline{}, tables{};
+  double told{}, memory{};  // cost, or the class's mean where none was told; memory need, MB, or 0
+  bool cost_told = false, over_share = false, held = false, over = false;
   std::vector<Attempt> attempts;
   [[nodiscard]] bool attempt_out() const {
     return std::any_of(attempts.begin(), attempts.end(), [](const Attempt& a) { return a.out; });
@@ -107,47 +113,42 @@
 
 struct ClassState {
   std::vector<RequestId> queue;  // held, in order of arrival
-  double queued = 0;  // cost held
-  double running = 0;  // cost out on engines not judged ill
+  double queued = 0, running = 0;  // cost held; cost out on engines not judged ill
   double rate = 0;  // 1/rho: cost finished per second, learned
   double b_delta = 0, b_total = 0, last_error = 0;
   double largest = 0;  // largest cost seen, slowly forgotten
-  double finished = 0;  // this period
+  double finished = 0, latency_sum = 0, answers = 0;  // this period
   double finish_rate = 0;  // per second, over some periods
-  double latency_sum = 0, answers = 0;  // this period
   double bias = 1, samples = 0;  // work over told cost, and the answers behind it
   double scatter = 0.5;  // mean deviation of ln(work / corrected cost)
-  double mean_cost = 0, arrivals = 0;
-  double memory_bias = 1, memory_samples = 0;
+  double mean_cost = 0, arrivals = 0, memory_bias = 1, memory_samples = 0;
   double pace = 1, pace_samples = 0;  // run time over time alone, lately
-  bool held_back = false, closed = false;
-  bool asked = false;  // this period
+  bool held_back = false, closed = false, asked = false, told = false;  // asked: this period; told to peers
 };
 
 enum class Health : std::uint8_t { well, shunned, trial };
-enum class Symptom : std::uint8_t { errors, silence, no_connection };
 
 struct Engine {
   EngineEntry entry;
   bool listed = false, probing = false;
-  double cores = 1;
-  double queries = 0, threads = 0;  // ours
-  double failures = 0;  // share that failed
-  double judged_at = -1e9;  // when this was last told
+  double cores = 1, size = 0;  // size: its memory, MB
+  double queries = 0, threads = 0, memory = 0;  // ours
+  double told_threads = 0, told_memory = 0;  // of peers, MB
+  double failures = 0, judged_at = -1e9;  // share that failed, and when this was last told
   double last_answer = -1e9, full_until = -1e9, cold_until = -1e9;
-  double overdue = 0;  // attempts of ours past their time, twice those far past
-  double first_out = 0;  // since when something of ours is out without a break
+  double overdue = 0, first_out = 0;  // attempts past their time, twice those far past; out since, no break
   Health health = Health::well;
-  Symptom symptom = Symptom::errors;
   double shunned_until = 0, shun_length = shun_first;
   int trial_good = 0;
   std::deque<std::pair<double, double>> cold_sends;  // time, work
-  std::vector<double> warm;  // tables, latest last
   std::map<double, int> writers;  // our loads on it, by tables
   [[nodiscard]] bool ready() const { return listed && entry.state == EngineState::ready; }
 };
 
-constexpr const char* words[] = {"failing fast", "silent", "not reached"};
+struct PeerNews {
+  double at = 0;
+  std::vector<ToldAttempt> out;
+};
 
 }  // namespace
 
@@ -157,6 +158,7 @@
     for (auto& c : s_.classes) c.threads = usable(c.threads, 1.0);
     instances_ = std::max(1.0, static_cast<double>(s_.instances));
     random_.seed(s_.seed);
+    if (s_.may_tell_peers) peers_.resize(std::min<std::size_t>(s_.instances, 65536));
     for (std::size_t i = 0; i < s_.tenants.size(); ++i) tenant_tokens_.push_back(quota_depth(i));
     end_margin_ = end_margin_steps * std::max(seconds(s_.clock_step), 1e-3);
   }
@@ -167,12 +169,13 @@
       started_ = true;
       origin_ = now;
       next_period_ = period;
-      if (s_.fleet_by_request) out_->push_back(SubscribeFleet{});
+      if (s_.fleet_by_request) act(SubscribeFleet{});
       set_timer(watch_period);
     }
     now_ = seconds(now - origin_);
     std::visit([this](const auto& e) { on(e); }, event);
     pump();
+    tell_peers();
   }
 
  private:
@@ -192,9 +195,7 @@
   void set_bounds() {
     for (std::size_t i = 0; i < classes_.size(); ++i) {
       ClassState& c = classes_[i];
-      double oldest = now_, newest = -1;
-      double mix = 0, present = 0;
-      double late_sum = 0, late = 0;
+      double oldest = now_, newest = -1, mix = 0, present = 0, late_sum = 0, late = 0;
       for (const auto& [id, r] : requests_) {
         if (r.cls != i || r.over) continue;
         const double aim = aim_of(r);
@@ -211,7 +212,11 @@
       }
       newest = std::max(newest, oldest);
       c.largest *= 0.999;
-      learn_rate_of(c);
+      c.finish_rate += finish_smooth * (c.finished / period - c.finish_rate);
+      // The best rate seen counts, slowly forgotten: while load is light, finished cost measures arrivals.
+      const bool grew = c.finish_rate > c.rate, held = c.held_back && !c.queue.empty();
+      const double weight = grew ? rate_up : held ? rate_down : 0;
+      c.rate = weight > 0 ? c.rate + weight * (c.finish_rate - c.rate) : c.rate * rate_forget;
       if (present == 0 && c.answers == 0 && !c.asked) c.b_delta = c.last_error = 0;
       const ClassSettings& k = s_.classes[i];
       const double usual_aim = seconds(k.aim) + k.aim_stretch * c.mean_cost * c.bias / k.threads;
@@ -227,22 +232,12 @@
       c.b_delta = std::clamp(c.b_delta, -max_data, max_data);
       // Never shut wholly: that would refuse light queries along with heavy ones, as if cost did not count.
       c.b_total = std::clamp(b_f + c.b_delta, crack * max_data, max_data);
-      const bool closed = c.b_total <= crack * max_data;
-      if (closed != c.closed) log("class " + std::to_string(i) + (closed ? " bound closed" : " bound open"));
-      c.closed = closed;
+      c.closed = c.b_total <= crack * max_data;
       c.finished = c.latency_sum = c.answers = 0;
-      c.asked = false;
-      c.held_back = !c.queue.empty();
+      c.asked = false, c.held_back = !c.queue.empty();
     }
   }
 
-  // The best rate seen counts, slowly forgotten: while load is light, finished cost measures arrivals.
-  void learn_rate_of(ClassState& c) {
-    c.finish_rate += finish_smooth * (c.finished / period - c.finish_rate);
-    const double weight = c.finish_rate > c.rate ? rate_up : c.held_back && !c.queue.empty() ? rate_down : 0;
-    c.rate = weight > 0 ? c.rate + weight * (c.finish_rate - c.rate) : c.rate * rate_forget;
-  }
-
   // Admit what fits the bound; or what is alone in its class while engines are free, lest a class be shut.
   bool admits(const Request& r) const {
     const ClassState& c = classes_[r.cls];
@@ -256,20 +251,21 @@
   double threads_against(const Request& r) const {
     const std::uint8_t lane = priority_of(r);
     double sum = 0;
-    for (std::uint8_t other = 0; other < 4; ++other) {
+    for (std::uint8_t other = 0; other < 4; ++other)
       sum += threads_out_[other] *
              (s_.priorities_heeded && other < lane ? std::pow(lane_ratio, other - lane) : 1);
-    }
     return sum;
   }
 
   // ---- 3. Ledger of requests and attempts ----
 
-  void log(std::string text) { out_->push_back(Log{std::move(text)}); }
-  void set_timer(double after) { out_->push_back(SetTimer{0, duration(after)}); }
+  template <typename T>
+  void act(T what) {
+    out_->emplace_back(std::in_place_type<T>, std::move(what));
+  }
+  void set_timer(double after) { act(SetTimer{0, duration(after)}); }
 
   double tenant_rate(std::size_t i) const { return usable(s_.tenants[i].quota_per_s, 0.0) / instances_; }
-
   // Chance lumps the few requests of a small part: its bucket must hold some whole ones.
   double quota_depth(std::size_t i) const { return tenant_rate(i) + quota_slack; }
 
@@ -310,23 +306,22 @@
     a.sent = now_;
     a.base = cost_of(r) / k.threads;
     if (!r.attempts.empty()) further_.push_back(now_);
-    if (now_ < e.cold_until) e.cold_sends.emplace_back(now_, usual_work(r.cls));
+    if (now_ < e.cold_until) e.cold_sends.emplace_back(now_, cold_work(r));
     if (e.queries == 0) e.first_out = now_;
-    e.queries += 1;
-    e.threads += k.threads;
+    a.memory = granted(r);
+    e.queries += 1, e.threads += k.threads, e.memory += a.memory;
+    a.told = classes_[r.cls].told;
+    a.told ? news_at_ = now_ : untold_memory_ += a.memory;
     a.roomy = e.threads * instances_ <= e.cores;
     a.lane = priority_of(r);
     threads_out_[a.lane] += k.threads;
     classes_[r.cls].running += a.base * k.threads;
     if (k.writes_tables) ++e.writers[r.tables];
-    std::erase(e.warm, r.tables);
-    e.warm.push_back(r.tables);
-    if (e.warm.size() > warm_tables) e.warm.erase(e.warm.begin());
     r.attempts.push_back(a);
     if (s_.priorities_heeded || s_.grants_heeded) {
-      out_->push_back(SetTerms{r.id, priority_of(r), s_.grants_heeded ? granted(r) : 0.0});
+      act(SetTerms{r.id, priority_of(r), s_.grants_heeded ? granted(r) : 0.0});
     }
-    out_->push_back(Send{r.id, e.entry.engine, duration(r.deadline - end_margin_ - now_)});
+    act(Send{r.id, e.entry.engine, duration(r.deadline - end_margin_ - now_)});
   }
 
   void end_attempt(const Request& r, Attempt& a) {
@@ -335,8 +330,8 @@
     threads_out_[a.lane] -= k.threads;
     discharge(r, a);
     Engine& e = engines_.at(a.engine);
-    e.queries -= 1;
-    e.threads -= k.threads;
+    e.queries -= 1, e.threads -= k.threads, e.memory -= a.memory;
+    a.told ? news_at_ = std::min(news_at_, now_ + news_lag) : untold_memory_ -= a.memory;
     if (k.writes_tables && --e.writers[r.tables] <= 0) e.writers.erase(r.tables);
   }
 
@@ -344,13 +339,13 @@
   void discharge(const Request& r, Attempt& a) {
     if (!a.charged) return;
     a.charged = false;
-    const double cost = a.base * s_.classes[r.cls].threads;
-    classes_[r.cls].running = std::max(0.0, classes_[r.cls].running - cost);
+    double& running = classes_[r.cls].running;
+    running = std::max(0.0, running - a.base * s_.classes[r.cls].threads);
   }
 
   void cancel_all(const Request& r) {
-    for (std::size_t i = 0; i < r.attempts.size() && s_.may_cancel && !r.streaming; ++i) {
-      if (r.attempts[i].out) out_->push_back(Cancel{r.id, static_cast<std::uint32_t>(i)});
+    for (std::size_t i = 0; i < r.attempts.size() && s_.may_cancel; ++i) {
+      if (r.attempts[i].out) act(Cancel{r.id, static_cast<std::uint32_t>(i)});
     }
   }
 
@@ -359,7 +354,7 @@
     if (r.over) return;
     unhold(r);
     cancel_all(r);
-    out_->push_back(may_refuse(r) ? Action{Refuse{r.id, retry_advice(r)}} : Action{Fail{r.id}});
+    may_refuse(r) ? act(Refuse{r.id, retry_advice(r)}) : act(Fail{r.id});
     close_request(r);
   }
 
@@ -409,17 +404,15 @@
     return 2 * (static_cast<std::size_t>(shunned) + 1) <= ready_engines();
   }
 
-  void shun(Engine& e, Symptom why) {
+  void shun(Engine& e, const char* why) {
     if (e.health == Health::shunned) return;
     e.shun_length = e.health == Health::trial ? 2 * e.shun_length : shun_first;
     // A trial risks a query of ours: where we pass an engine seldom, it is tried again as seldom.
     const double rate = std::max(1.0, taken_lately(cut_window)) / cut_window;
     const double turn = static_cast<double>(ready_engines()) / rate;
     e.shun_length = std::clamp(e.shun_length, std::max(shun_first, turn), std::max(shun_most, 2 * turn));
-    if (e.health == Health::well)
-      log("engine " + std::to_string(e.entry.engine) + " shunned: " + words[static_cast<std::size_t>(why)]);
+    if (e.health == Health::well) act(Log{"engine " + std::to_string(e.entry.engine) + " shunned: " + why});
     e.health = Health::shunned;
-    e.symptom = why;
     e.shunned_until = now_ + e.shun_length;
     e.trial_good = 0;
     for (auto& [id, r] : requests_) {
@@ -429,12 +422,6 @@
     }
   }
 
-  void trust(Engine& e) {
-    log("engine " + std::to_string(e.entry.engine) + " let back");
-    e.health = Health::well;
-    e.failures = 0;
-  }
-
   // What was seen of an engine fades towards what is usual in the fleet.
   double freshness(const Engine& e) const { return std::exp((e.judged_at - now_) / evidence_memory); }
   double doubt(const Engine& e) const {
@@ -453,10 +440,13 @@
   void judge_served(Engine& e) {
     e.last_answer = now_;
     weigh(e, false);
-    if (e.health == Health::trial && ++e.trial_good >= trial_answers) trust(e);
+    if (e.health != Health::trial || ++e.trial_good < trial_answers) return;
+    act(Log{"engine " + std::to_string(e.entry.engine) + " let back"});
+    e.health = Health::well;
+    e.failures = 0;
   }
 
-  void judge_failed(Engine& e, Symptom why) {
+  void judge_failed(Engine& e, const char* why) {
     e.last_answer = now_;
     weigh(e, true);
     if (e.health == Health::trial || e.failures > error_shun + usual_failures_) shun(e, why);
@@ -474,29 +464,40 @@
       if (r.held && hopeless(r)) late.push_back(id);
       for (const Attempt& a : r.attempts) {
         if (!a.out || a.cut) continue;
-        const double due = overdue_times * expected_run(r, a) + overdue_slack;
+        const double due = overdue_times * expected_run(r, a) + cut_slack;
         if (now_ - a.sent > due) engines_.at(a.engine).overdue += now_ - a.sent > 2 * due ? 2 : 1;
       }
     }
     for (const RequestId id : late) answer(requests_.at(id));
     for (auto& [id, e] : engines_) {
       const bool quiet = now_ - std::max(e.last_answer, e.first_out) > silent_after;
-      if (quiet && e.overdue >= 2 && may_shun_more()) shun(e, Symptom::silence);
-      if (e.health == Health::shunned && now_ >= e.shunned_until && e.ready() && !e.probing) try_again(e);
+      if (quiet && e.overdue >= 2 && may_shun_more()) shun(e, "silent");
+      if (e.health != Health::shunned || now_ < e.shunned_until || !e.ready() || e.probing) continue;
+      // It must first answer a probe; that is no health yet, so a trial of single queries follows.
+      e.probing = s_.may_probe;
+      s_.may_probe ? act(Probe{id}) : void(e.health = Health::trial);
+    }
+    for (PeerNews& peer : peers_) {
+      if (peer.out.empty() || now_ < peer.at + news_life) continue;
+      hear(peer, -1);
+      peer.out.clear();
     }
     cut_overdue();
-    total_bound_ = thread_bound();
+    set_parts();
   }
 
-  // A silent engine must first answer a probe; that is no health yet, so a trial of single queries follows.
-  void try_again(Engine& e) {
-    if (s_.may_probe && (e.symptom == Symptom::silence || e.symptom == Symptom::no_connection)) {
-      e.probing = true;
-      out_->push_back(Probe{e.entry.engine});
-    } else {
-      e.health = Health::trial;
-      e.trial_good = 0;
+  // Notes tell a bad plan from a long query, and work from a lost answer; without them age must do.
+  bool overdue(const Request& r, const Attempt& a) const {
+    const double expected = expected_run(r, a), age = now_ - a.sent;
+    if (a.heard >= 0) {
+      if (now_ - a.heard > note_gap * seconds(s_.note_period)) return true;
+      if (a.share <= 0) return false;
+      const double whole = (a.share_at - a.sent) / a.share;
+      return whole > plan_times * expected && whole - age > expected;
     }
+    const ClassState& c = classes_[r.cls];
+    const double times = std::max(cut_times, std::exp(cut_scatter * c.scatter));
+    return age >= times * (c.pace_samples < 5 ? 2 : 1) * expected + cut_slack;
   }
 
   // Cuts attempts that are far past their time, to repeat them elsewhere while that is still worth it.
@@ -504,19 +505,13 @@
     if (!s_.may_cancel) return;
     drop_older(cuts_, cut_window);
     for (auto& [id, r] : requests_) {
-      if (r.over || r.streaming || r.attempts.empty()) continue;
+      if (r.over || r.attempts.empty()) continue;
       Attempt& a = r.attempts.back();
-      if (!a.out || a.cut || !may_go_on(r)) continue;
-      const bool ill = engines_.at(a.engine).health != Health::well;
-      const ClassState& c = classes_[r.cls];
-      const double times =
-          ill ? overdue_times
-              : std::max(cut_times, std::exp(cut_scatter * c.scatter)) * (c.pace_samples < 5 ? 2 : 1);
-      if (now_ - a.sent < times * expected_run(r, a) + (ill ? overdue_slack : cut_slack)) continue;
+      if (!a.out || a.cut || !may_go_on(r) || !overdue(r, a)) continue;
       if (static_cast<double>(cuts_.size()) >= cut_floor + cut_share * taken_lately(cut_window)) return;
       cuts_.push_back(now_);
       a.cut = true;
-      out_->push_back(Cancel{r.id, static_cast<std::uint32_t>(r.attempts.size() - 1)});
+      act(Cancel{r.id, static_cast<std::uint32_t>(r.attempts.size() - 1)});
       weigh(engines_.at(a.engine), true, 0);  // a bad plan or a silent engine: tells little by itself
     }
   }
@@ -534,25 +529,82 @@
     return usable(r.memory, 0.0) * corrected * memory_quarter;
   }
 
-  double usual_work(std::uint32_t cls) const {
-    const ClassState& c = classes_[cls];
-    const double known = c.samples >= 5 ? c.bias : unlearned_times * std::max(1.0, c.bias);
-    return std::max(0.05, c.mean_cost * known);
+  struct Mix {
+    double requests = 0, worth = 0, work = 0;
+  };
+  Mix mix() const {
+    Mix m;
+    for (std::size_t i = 0; i < classes_.size(); ++i) {
+      m.requests += classes_[i].arrivals;
+      m.worth += classes_[i].arrivals * usable(s_.classes[i].worth, 1e-3);
+      m.work += classes_[i].arrivals * classes_[i].mean_cost * classes_[i].bias;
+    }
+    return m;
   }
 
-  double worth_density(std::uint32_t cls, double cost) const {
-    return usable(s_.classes[cls].worth, 1e-3) / std::max(cost, 1e-3);
+  // Is a query of this class worth the messages that tell all peers of its start and its end? Where it waits
+  // in line for memory, an engine that too many chose harms none but itself: no news was worth its price.
+  bool worth_news(std::uint32_t cls) const {
+    const Mix m = mix();
+    const double worth = usable(s_.classes[cls].worth, 1e-3) * m.requests / std::max(m.worth, 1e-6);
+    const double price = s_.tell_price * 4 * s_.told_attempt_bytes * (instances_ - 1) / 256;
+    return s_.may_tell_peers && s_.when_memory_short != Shortage::wait_in_line && price <= news_worth * worth;
+  }
+
+  // Tells all peers what of ours is out, whole each time: what is lost is mended by the next.
+  void tell_peers() {
+    news_tokens_ = std::min(news_most, news_tokens_ + news_rate / instances_ * (now_ - news_seen_));
+    news_seen_ = now_;
+    if (news_tokens_ < 1 || now_ < news_at_) return;
+    std::vector<ToldAttempt> news;
+    for (const auto& [id, r] : requests_) {
+      for (const Attempt& a : r.attempts) {
+        const double memory = engines_.at(a.engine).size;
+        if (!a.out || !a.told) continue;
+        news.push_back({a.engine, s_.classes[r.cls].threads, memory > 0 ? a.memory / memory : 0});
+      }
+    }
+    news_tokens_ -= 1;
+    news_at_ = news.empty() ? 1e9 : now_ + news_period;
+    act(TellPeers{std::move(news)});
+  }
+
+  void hear(const PeerNews& peer, double sign) {
+    for (const ToldAttempt& q : peer.out) {
+      const auto found = engines_.find(q.engine);
+      if (found == engines_.end()) continue;
+      found->second.told_threads += sign * q.threads;
+      found->second.told_memory += sign * q.memory_share * found->second.size;
+    }
+  }
+
+  bool memory_allows(const Request& r) const {
+    if (s_.when_memory_short == Shortage::wait_in_line || classes_[r.cls].told) return true;
+    const double own = granted(r);
+    return untold_memory_ <= 0 ||
+           untold_memory_ + own <= memory_bound_ + chance_margin * std::sqrt(memory_bound_ * own);
+  }
+
+  // Where peers tell what they have out, an engine that all of them together have filled is passed by.
+  bool has_room(const Request& r, const Engine& e) const {
+    if (!classes_[r.cls].told || e.threads + e.told_threads <= 0) return true;
+    if (e.threads + e.told_threads + s_.classes[r.cls].threads > fleet_crowd * e.cores) return false;
+    return e.size <= 0 || e.memory + e.told_memory + granted(r) <= memory_fill * e.size;
+  }
+
+  // What a query counts on a cold engine: its class's usual work, or its own where that is told to be more.
+  double cold_work(const Request& r) const {
+    const ClassState& c = classes_[r.cls];
+    const double known = c.samples >= 5 ? c.bias : unlearned_times * std::max(1.0, c.bias);
+    return std::max({0.05, c.mean_cost * known, cost_of(r)});
   }
 
   // Short work ahead of long: by worth for each second of work against the mean of all that arrives.
   std::uint8_t priority_of(const Request& r) const {
-    double worth = 0, work = 0;
-    for (std::size_t i = 0; i < classes_.size(); ++i) {
-      worth += classes_[i].arrivals * usable(s_.classes[i].worth, 1e-3);
-      work += classes_[i].arrivals * classes_[i].mean_cost * classes_[i].bias;
-    }
+    const Mix m = mix();
     if (r.over_share || now_ > r.arrived + aim_of(r)) return 0;
-    const double against = worth_density(r.cls, cost_of(r)) * work / std::max(worth, 1e-6);
+    const double against =
+        usable(s_.classes[r.cls].worth, 1e-3) / cost_of(r) * m.work / std::max(m.worth, 1e-6);
     return against > 2 ? 3 : against > 0.7 ? 2 : against > 0.25 ? 1 : 0;
   }
 
@@ -560,12 +612,17 @@
     const double part = now_ < e.cold_until ? std::clamp(s_.cold_share, 0.1, 1.0) : 1.0;
     return e.cores * crowd * part / instances_;
   }
-  double thread_bound() const {
-    double all = 0;
+
+  // This manager's part of the threads of all engines, and of the memory that told queries leave.
+  void set_parts() {
+    double all = 0, memory = 0;
     for (const auto& [id, e] : engines_) {
-      if (e.ready() && e.health == Health::well) all += bound_of(e);
+      if (!e.ready() || e.health != Health::well) continue;
+      all += bound_of(e);
+      memory += std::max(0.0, e.size - e.told_memory - (peers_.empty() ? 0 : e.memory));
     }
-    return all + chance_margin * std::sqrt(all);
+    total_bound_ = all + chance_margin * std::sqrt(all);
+    memory_bound_ = memory / instances_;
   }
 
   // What can no longer be answered in time, or only for nothing, is answered at once.
@@ -581,26 +638,26 @@
     const ClassSettings& k = s_.classes[r.cls];
     const double against = threads_against(r);
     if (against > 0 && against + k.threads > total_bound_) return nullptr;
+    if (!memory_allows(r)) return nullptr;
+    // All managers hear the same of told queries: what they do not tell would all go where these are fewest.
+    const bool herded = !classes_[r.cls].told;
     Engine* best = nullptr;
-    double best_load = 0;
+    double best_load = std::numeric_limits<double>::infinity();
     for (auto& [id, e] : engines_) {
       if (!may_send(r, e) || e.health == Health::shunned || now_ < e.full_until) continue;
       const bool trial = e.health == Health::trial;
       if (trial && (e.queries > 0 || k.repeat != Repeat::safe)) continue;
       const double bound = bound_of(e);
       if (e.threads > 0 && e.threads + k.threads > bound) continue;
+      if (!has_room(r, e)) continue;
       // Many managers that see the same must not choose the same: ties fall by the told seed.
-      double load = (e.threads + k.threads) / std::max(bound, 1.0) +
+      double load = (e.threads + (herded ? 0 : e.told_threads) + k.threads) / std::max(bound, 1.0) +
                     tie_scatter * std::generate_canonical<double, 32>(random_);
-      if (std::find(e.warm.begin(), e.warm.end(), r.tables) != e.warm.end()) load -= warm_bonus;
       if ((k.waits_for_writers || k.writes_tables) && e.writers.contains(r.tables)) load += writer_penalty;
       for (const Attempt& a : r.attempts) load += a.engine == id ? retried_penalty : 0;
       // One query at a time finds out whether it is well again, whatever was seen before.
       load += trial ? -1 : doubt_weight * doubt(e);
-      if (best == nullptr || load < best_load) {
-        best = &e;
-        best_load = load;
-      }
+      if (load < best_load) best = &e, best_load = load;
     }
     return best;
   }
@@ -613,10 +670,9 @@
     }
     if (order.empty()) return;
     const auto density = [this](std::size_t i) {
-      return worth_density(static_cast<std::uint32_t>(i), classes_[i].mean_cost * classes_[i].bias);
+      return usable(s_.classes[i].worth, 1e-3) / std::max(classes_[i].mean_cost * classes_[i].bias, 1e-3);
     };
-    std::stable_sort(order.begin(), order.end(),
-                     [&](std::size_t a, std::size_t b) { return density(a) > density(b); });
+    std::stable_sort(order.begin(), order.end(), [&](auto a, auto b) { return density(a) > density(b); });
     for (const std::size_t i : order) {
       const std::vector<RequestId> line = classes_[i].queue;
       for (const RequestId id : line) {
@@ -670,13 +726,12 @@
     return among(k.allowed_zones, e.entry.zone) && among(k.allowed_kinds, e.entry.kind);
   }
 
-  // This instance's part of what a cold engine can take in any fall window, counted in its class's usual
-  // work.
+  // This instance's part of what a cold engine can take in any fall window.
   bool cold_allows(const Request& r, const Engine& e) const {
     if (now_ >= e.cold_until) return true;
     const double window = std::max(seconds(s_.fall_window), 1e-3);
     if (now_ < window) return false;  // what an earlier start of this instance sent is not known
-    double sent = usual_work(r.cls);
+    double sent = cold_work(r);
     for (const auto& [at, work] : e.cold_sends) sent += at > now_ - 1.05 * window ? work : 0.0;
     return sent <= cold_part(e, cold_caution * s_.fall_multiple * busy_at_capacity * s_.cold_share * window);
   }
@@ -693,8 +748,7 @@
 
   // May this attempt be sent now? Every send passes here.
   bool may_send(const Request& r, const Engine& e) const {
-    if (r.over || r.streaming || r.attempt_out()) return false;
-    if (now_ >= r.deadline - end_margin_) return false;
+    if (r.over || r.attempt_out() || now_ >= r.deadline - end_margin_) return false;
     if (!r.attempts.empty() && r.attempts.size() >= s_.most_attempts) return false;
     return e.ready() && placement_allows(r, e) && effect_allows(r, e) && has_turn(r) && within_budget(r) &&
            cold_allows(r, e);
@@ -733,22 +787,22 @@
       e.listed = entry.state != EngineState::gone;
       const bool known = entry.kind < s_.kinds.size();
       e.cores = known ? usable(s_.kinds[entry.kind].cores, 1.0) : 1.0;
+      e.size = known ? usable(s_.kinds[entry.kind].memory_mb, 0.0) : 0.0;
       if (entry.started.count() > 0) {
         const double warm_at = seconds(entry.started - origin_) + seconds(s_.cold_time);
         if (warm_at > now_) e.cold_until = std::max(e.cold_until, warm_at);
       }
       if (restarted) {
-        e.warm.clear();
         e.failures = 0;
         if (e.health == Health::shunned) e.shunned_until = now_;
       }
     }
-    total_bound_ = thread_bound();
+    set_parts();
   }
 
   void on(const RequestArrived& event) {
     if (event.class_index >= classes_.size() || requests_.contains(event.request)) {
-      out_->push_back(Fail{event.request});
+      act(Fail{event.request});
       return;
     }
     taken_.push_back(now_);
@@ -756,11 +810,9 @@
     ClassState& c = classes_[event.class_index];
     const ClassSettings& k = s_.classes[event.class_index];
     Request r;
-    r.id = event.request;
-    r.cls = event.class_index;
+    r.id = event.request, r.cls = event.class_index;
     r.key = k.in_turn ? event.order_key : 0;
-    r.arrived = now_;
-    r.deadline = now_ + seconds(event.patience);
+    r.arrived = now_, r.deadline = now_ + seconds(event.patience);
     r.memory = event.told_memory_mb;
     r.tables = std::isfinite(event.tables) ? event.tables : 0.0;
     r.cost_told = event.told_cost && event.told_cost->count() > 0;
@@ -770,15 +822,12 @@
       c.arrivals += 1;
       c.mean_cost += std::max(learn_rate / 3, 1 / c.arrivals) * (r.told - c.mean_cost);
       // rho starts as the aim over the first told cost, shared by the ready engines (design page).
-      if (c.rate <= 0) {
-        c.rate =
-            r.told * std::max(1.0, static_cast<double>(ready_engines())) / std::max(seconds(k.aim), 1e-3);
-      }
+      const auto ready = std::max(1.0, static_cast<double>(ready_engines()));
+      if (c.rate <= 0) c.rate = r.told * ready / std::max(seconds(k.aim), 1e-3);
     }
-    c.asked = true;
+    c.asked = true, c.told = worth_news(r.cls);
     Request& kept = requests_.emplace(r.id, std::move(r)).first->second;
-    const double cost = cost_of(kept);
-    c.largest = std::max(c.largest, cost);
+    c.largest = std::max(c.largest, cost_of(kept));
     if (c.rate > 0 && c.b_total <= 0 && !c.closed) c.b_total = 2 * c.rate * headroom * aim_of(kept);
     if (kept.key != 0) turns_[kept.key].push_back(kept.id);
     ends_.insert({kept.deadline, kept.id});
@@ -786,12 +835,7 @@
     !admits(kept) || hopeless(kept) ? answer(kept) : hold(kept);
   }
 
-  void on(const AnswerStarted& event) {
-    const auto found = requests_.find(event.request);
-    if (found == requests_.end()) return;
-    found->second.streaming = true;
-    ends_.erase({found->second.deadline, found->first});
-  }
+  void on(const AnswerStarted&) {}  // no class streams here
 
   void on(const AttemptEnded& event) {
     const auto found = requests_.find(event.request);
@@ -804,8 +848,8 @@
     const Result how = event.result;
     a.may_have_run = how != Result::full && how != Result::connect_failed && how != Result::moot;
     if (how == Result::served) learn(r, a, event, e);
-    if (how == Result::engine_error) judge_failed(e, Symptom::errors);
-    if (how == Result::connect_failed || how == Result::reset) judge_failed(e, Symptom::no_connection);
+    if (how == Result::engine_error) judge_failed(e, "failing fast");
+    if (how == Result::connect_failed || how == Result::reset) judge_failed(e, "not reached");
     if (how == Result::full) e.full_until = now_ + full_rest;
     if (r.key != 0 && (how == Result::timed_out || how == Result::reset || how == Result::cancelled)) {
       rests_[r.key] = now_ + seconds(s_.order_settle) + (s_.order_settle.count() > 0 ? end_margin_ : 0.0);
@@ -873,7 +917,7 @@
     }
     if (resubscribe_at_ > 0 && now_ >= resubscribe_at_ && s_.fleet_by_request) {
       resubscribe_at_ = 0;
-      out_->push_back(SubscribeFleet{});
+      act(SubscribeFleet{});
     }
     watch();
   }
@@ -884,16 +928,31 @@
     Engine& e = found->second;
     e.probing = false;
     if (e.health != Health::shunned) return;
-    if (event.result == Result::served) {
-      e.health = Health::trial;
-      e.trial_good = 0;
-    } else {
-      e.shunned_until = now_ + shun_first;
+    event.result == Result::served ? void(e.health = Health::trial)
+                                   : void(e.shunned_until = now_ + shun_first);
+  }
+
+  void on(const PeerMessage& event) {
+    if (event.author >= peers_.size() || event.author == s_.position) return;
+    PeerNews& peer = peers_[event.author];
+    hear(peer, -1);
+    peer.at = now_;
+    peer.out.clear();
+    for (const ToldAttempt& q : event.out) {
+      if (engines_.contains(q.engine)) peer.out.push_back(q);
     }
+    hear(peer, 1);
   }
 
-  template <typename Unused>
-  void on(const Unused&) {}  // notes and messages of peers decide nothing here
+  void on(const Note& event) {
+    const auto found = requests_.find(event.request);
+    if (found == requests_.end() || event.attempt >= found->second.attempts.size()) return;
+    Attempt& a = found->second.attempts[event.attempt];
+    a.heard = now_;
+    if (event.kind != NoteKind::progress || !(event.level >= 0)) return;
+    a.share = std::clamp(event.level, 1e-3, 1.0);
+    a.share_at = now_;
+  }
 
   Settings s_;
   std::vector<ClassState> classes_;
@@ -906,6 +965,9 @@
   std::deque<double> further_;  // attempts beyond each request's first
   std::deque<double> cuts_;
   std::vector<double> tenant_tokens_;
+  std::vector<PeerNews> peers_;  // by position
+  double untold_memory_ = 0, memory_bound_ = 0;
+  double news_at_ = 1e9, news_seen_ = 0, news_tokens_ = 0;  // when to tell; what may be told
   double tokens_at_ = 0;
   double instances_ = 1;
   double end_margin_ = 0;
