Halls by their price and reported queries; larger grants where only use counts; less margin on memory

An attempt that leaves its hall now has the price as added load, against what engines of each hall report in answers; weighed by chance, so not all leave at once. May hurt where reports are seconds old: halls then swing.

--- a/src/workload_manager.cpp
+++ b/src/workload_manager.cpp
@@ -37,6 +37,7 @@
 constexpr double crowd = 4.0;  // threads a core, all gateways together: many wait for disks or locks
 constexpr double quota_slack = 3;  // requests of a tenant that may come at once beyond a second of its part
 constexpr double chance_margin = 1.5;  // deviations: few managers are at a small share's bound at once
+constexpr double memory_margin = 0.8;  // deviations, likewise: what fills memory stays longer
 constexpr double lane_ratio = 4;  // of the cores that a step of priority gets (wire: 1 : 4 : 8 : 16)
 constexpr double pressed_share = 0.7;  // of the thread bound: a key that waits its turn is no pressure
 constexpr double tie_scatter = 0.05;  // in own threads over the thread bound: what counts as a tie
@@ -49,8 +50,8 @@
 constexpr double cut_times = 2;  // expected run times after which a bad plan is likelier than a long query
 constexpr double cut_slack = 0.25;  // s, added to it
 constexpr double cut_scatter = 1.3;  // of the scatter of a class's estimates, in the exponent of these times
-constexpr double note_gap = 1.6;  // periods without a note after which an attempt has ended unheard, or hangs
-constexpr double plan_times = 4;  // of the expected run: with notes, between a long query and a bad plan
+constexpr double note_gap = 1.6;  // periods without a note: it has ended unheard, or hangs
+constexpr double plan_times = 4;  // of the expected run: from there a bad plan is likelier than a long query
 constexpr double cut_floor = 3;  // cuts allowed in cut_window at the least
 constexpr double cut_share = 0.2;  // and this share of the requests taken: no storm of cuts when all is slow
 constexpr double cut_window = 5;  // s
@@ -68,16 +69,16 @@
 constexpr double writer_penalty = 4;  // threads a core: an engine where a load holds the tables
 constexpr double retried_penalty = 4;  // threads a core: an engine that this request was tried on
 constexpr double memory_quarter = 1.25;  // grant over the corrected estimate, as engines themselves choose
-constexpr double news_worth =
-    0.05;  // of a query's worth: what finding its engine may cost in messages or probes
+constexpr double news_worth = 0.05;  // of a query's worth: what telling of it may cost
 constexpr double news_rate = 350;  // messages a second that a manager may cause at its peers
 constexpr double news_most = 3;  // of them to all, at once
 constexpr double news_lag = 0.4;  // s: an end waits so long for a start to be told along
 constexpr double news_period = 2.0;  // s: what is out is told again after that, for what was lost
 constexpr double news_life = 5;  // s without news after which a peer's word counts no more
-constexpr double fleet_crowd = 1.75;  // threads a core of told queries, all managers together: near the knee
-constexpr double memory_fill =
-    0.8;  // of an engine's memory for told queries, where going past it slows or spills
+constexpr double fleet_crowd = 2.5;  // threads a core of told queries, all managers together: near the knee
+constexpr double memory_fill = 0.8;  // of an engine's memory for told queries: light ones need the rest
+constexpr double unused_grant = 2;  // times: where only what is used counts, too large a grant costs nothing
+constexpr double zone_weight = 0.1;  // of a query more that engines of a zone report, in own threads
 constexpr double end_margin_steps = 3;  // clock steps before the client's deadline at which all is answered
 constexpr double full_rest = 0.25;  // s without sends after an engine turned one away
 constexpr double budget_edge = 0.01;  // s: attempts are counted over so much more, requests over so much less
@@ -85,9 +86,7 @@
 double seconds(Duration d) { return static_cast<double>(d.count()) * 1e-9; }
 // Timers last 71 minutes at most.
 Duration duration(double s) { return Duration{std::llround(std::clamp(s, 0.0, 4000.0) * 1e9)}; }
-double usable(double value, double otherwise) {
-  return std::isfinite(value) && value > 0 ? value : otherwise;
-}
+double usable(double value, double other) { return std::isfinite(value) && value > 0 ? value : other; }
 
 struct Attempt {
   EngineId engine{};
@@ -319,7 +318,8 @@
     if (k.writes_tables) ++e.writers[r.tables];
     r.attempts.push_back(a);
     if (s_.priorities_heeded || s_.grants_heeded) {
-      act(SetTerms{r.id, priority_of(r), s_.grants_heeded ? granted(r) : 0.0});
+      const double spare = s_.when_memory_short == Shortage::overcommit ? unused_grant : 1;
+      act(SetTerms{r.id, priority_of(r), s_.grants_heeded ? granted(r) * spare : 0.0});
     }
     act(Send{r.id, e.entry.engine, duration(r.deadline - end_margin_ - now_)});
   }
@@ -391,27 +391,15 @@
 
   // ---- 4. Engine health ----
 
-  std::size_t ready_engines() const {
-    return static_cast<std::size_t>(
-        std::count_if(engines_.begin(), engines_.end(), [](const auto& e) { return e.second.ready(); }));
-  }
-
-  // What strikes more than half of the engines together is no reason to shun any one: the rest would fall.
-  bool may_shun_more() const {
-    const auto shunned = std::count_if(engines_.begin(), engines_.end(), [](const auto& e) {
-      return e.second.ready() && e.second.health != Health::well;
-    });
-    return 2 * (static_cast<std::size_t>(shunned) + 1) <= ready_engines();
-  }
-
   void shun(Engine& e, const char* why) {
     if (e.health == Health::shunned) return;
     e.shun_length = e.health == Health::trial ? 2 * e.shun_length : shun_first;
     // A trial risks a query of ours: where we pass an engine seldom, it is tried again as seldom.
     const double rate = std::max(1.0, taken_lately(cut_window)) / cut_window;
-    const double turn = static_cast<double>(ready_engines()) / rate;
+    const double turn = ready_ / rate;
     e.shun_length = std::clamp(e.shun_length, std::max(shun_first, turn), std::max(shun_most, 2 * turn));
     if (e.health == Health::well) act(Log{"engine " + std::to_string(e.entry.engine) + " shunned: " + why});
+    ill_ += e.health == Health::well && e.ready() ? 1 : 0;
     e.health = Health::shunned;
     e.shunned_until = now_ + e.shun_length;
     e.trial_good = 0;
@@ -437,6 +425,12 @@
     e.judged_at = now_;
   }
 
+  void read_report(const Engine& e, const LoadReport& report) {
+    if (!report.queries || !std::isfinite(*report.queries)) return;
+    double& load = zone_load_.try_emplace(e.entry.zone, *report.queries).first->second;
+    load += pace_rate * (*report.queries - load);
+  }
+
   void judge_served(Engine& e) {
     e.last_answer = now_;
     weigh(e, false);
@@ -471,7 +465,8 @@
     for (const RequestId id : late) answer(requests_.at(id));
     for (auto& [id, e] : engines_) {
       const bool quiet = now_ - std::max(e.last_answer, e.first_out) > silent_after;
-      if (quiet && e.overdue >= 2 && may_shun_more()) shun(e, "silent");
+      // What strikes more than half of them together is no reason to shun any one: the rest would fall.
+      if (quiet && e.overdue >= 2 && 2 * (ill_ + 1) <= ready_) shun(e, "silent");
       if (e.health != Health::shunned || now_ < e.shunned_until || !e.ready() || e.probing) continue;
       // It must first answer a probe; that is no health yet, so a trial of single queries follows.
       e.probing = s_.may_probe;
@@ -542,13 +537,17 @@
     return m;
   }
 
+  double worth_share(std::uint32_t cls) const {  // of a mean request's worth
+    const Mix m = mix();
+    return usable(s_.classes[cls].worth, 1e-3) * std::max(m.requests, 1.0) / std::max(m.worth, 1e-3);
+  }
+
   // Is a query of this class worth the messages that tell all peers of its start and its end? Where it waits
   // in line for memory, an engine that too many chose harms none but itself: no news was worth its price.
   bool worth_news(std::uint32_t cls) const {
-    const Mix m = mix();
-    const double worth = usable(s_.classes[cls].worth, 1e-3) * m.requests / std::max(m.worth, 1e-6);
     const double price = s_.tell_price * 4 * s_.told_attempt_bytes * (instances_ - 1) / 256;
-    return s_.may_tell_peers && s_.when_memory_short != Shortage::wait_in_line && price <= news_worth * worth;
+    return s_.may_tell_peers && s_.when_memory_short != Shortage::wait_in_line &&
+           price <= news_worth * worth_share(cls);
   }
 
   // Tells all peers what of ours is out, whole each time: what is lost is mended by the next.
@@ -571,10 +570,9 @@
 
   void hear(const PeerNews& peer, double sign) {
     for (const ToldAttempt& q : peer.out) {
-      const auto found = engines_.find(q.engine);
-      if (found == engines_.end()) continue;
-      found->second.told_threads += sign * q.threads;
-      found->second.told_memory += sign * q.memory_share * found->second.size;
+      Engine& e = engines_.at(q.engine);  // known, or it was passed over when it was heard
+      e.told_threads += sign * q.threads;
+      e.told_memory += sign * q.memory_share * e.size;
     }
   }
 
@@ -582,7 +580,7 @@
     if (s_.when_memory_short == Shortage::wait_in_line || classes_[r.cls].told) return true;
     const double own = granted(r);
     return untold_memory_ <= 0 ||
-           untold_memory_ + own <= memory_bound_ + chance_margin * std::sqrt(memory_bound_ * own);
+           untold_memory_ + own <= memory_bound_ + memory_margin * std::sqrt(memory_bound_ * own);
   }
 
   // Where peers tell what they have out, an engine that all of them together have filled is passed by.
@@ -616,8 +614,11 @@
   // This manager's part of the threads of all engines, and of the memory that told queries leave.
   void set_parts() {
     double all = 0, memory = 0;
+    ready_ = ill_ = 0;
     for (const auto& [id, e] : engines_) {
-      if (!e.ready() || e.health != Health::well) continue;
+      if (!e.ready()) continue;
+      ready_ += 1, ill_ += e.health == Health::well ? 0 : 1;
+      if (e.health != Health::well) continue;
       all += bound_of(e);
       memory += std::max(0.0, e.size - e.told_memory - (peers_.empty() ? 0 : e.memory));
     }
@@ -641,6 +642,9 @@
     if (!memory_allows(r)) return nullptr;
     // All managers hear the same of told queries: what they do not tell would all go where these are fewest.
     const bool herded = !classes_[r.cls].told;
+    // Leaving the zone has its price. Weighed by chance: all that see the same must not leave at once.
+    const double leave = doubt_weight * s_.zone_price / worth_share(r.cls);
+    const double by_zone = 2 * zone_weight * std::generate_canonical<double, 32>(random_);
     Engine* best = nullptr;
     double best_load = std::numeric_limits<double>::infinity();
     for (auto& [id, e] : engines_) {
@@ -653,6 +657,8 @@
       // Many managers that see the same must not choose the same: ties fall by the told seed.
       double load = (e.threads + (herded ? 0 : e.told_threads) + k.threads) / std::max(bound, 1.0) +
                     tie_scatter * std::generate_canonical<double, 32>(random_);
+      const auto busy = zone_load_.find(e.entry.zone);
+      load += (e.entry.zone != s_.zone ? leave : 0) + (busy != zone_load_.end() ? by_zone * busy->second : 0);
       if ((k.waits_for_writers || k.writes_tables) && e.writers.contains(r.tables)) load += writer_penalty;
       for (const Attempt& a : r.attempts) load += a.engine == id ? retried_penalty : 0;
       // One query at a time finds out whether it is well again, whatever was seen before.
@@ -773,10 +779,7 @@
   // ---- 7. Event handlers ----
 
   void on(const FleetChanged& event) {
-    if (event.scope == FleetScope::failed) {
-      resubscribe_at_ = now_ + period;
-      return;
-    }
+    if (event.scope == FleetScope::failed) return void(resubscribe_at_ = now_ + period);
     if (event.scope != FleetScope::delta)
       for (auto& [id, e] : engines_) e.listed = false;
     for (const EngineEntry& entry : event.engines) {
@@ -801,10 +804,8 @@
   }
 
   void on(const RequestArrived& event) {
-    if (event.class_index >= classes_.size() || requests_.contains(event.request)) {
-      act(Fail{event.request});
-      return;
-    }
+    if (event.class_index >= classes_.size() || requests_.contains(event.request))
+      return act(Fail{event.request});
     taken_.push_back(now_);
     drop_older(taken_, 2 * cut_window + (s_.attempt_budget ? seconds(s_.attempt_budget->window) : 0.0));
     ClassState& c = classes_[event.class_index];
@@ -822,7 +823,7 @@
       c.arrivals += 1;
       c.mean_cost += std::max(learn_rate / 3, 1 / c.arrivals) * (r.told - c.mean_cost);
       // rho starts as the aim over the first told cost, shared by the ready engines (design page).
-      const auto ready = std::max(1.0, static_cast<double>(ready_engines()));
+      const auto ready = std::max(1.0, ready_);
       if (c.rate <= 0) c.rate = r.told * ready / std::max(seconds(k.aim), 1e-3);
     }
     c.asked = true, c.told = worth_news(r.cls);
@@ -846,6 +847,7 @@
     Engine& e = engines_.at(a.engine);
     end_attempt(r, a);
     const Result how = event.result;
+    read_report(e, event.report);
     a.may_have_run = how != Result::full && how != Result::connect_failed && how != Result::moot;
     if (how == Result::served) learn(r, a, event, e);
     if (how == Result::engine_error) judge_failed(e, "failing fast");
@@ -927,6 +929,7 @@
     if (found == engines_.end()) return;
     Engine& e = found->second;
     e.probing = false;
+    read_report(e, event.report);
     if (e.health != Health::shunned) return;
     event.result == Result::served ? void(e.health = Health::trial)
                                    : void(e.shunned_until = now_ + shun_first);
@@ -965,7 +968,9 @@
   std::deque<double> further_;  // attempts beyond each request's first
   std::deque<double> cuts_;
   std::vector<double> tenant_tokens_;
+  std::map<std::uint32_t, double> zone_load_;  // queries that engines of a zone report
   std::vector<PeerNews> peers_;  // by position
+  double ready_ = 0, ill_ = 0;  // engines that the list calls ready, and those of them not well
   double untold_memory_ = 0, memory_bound_ = 0;
   double news_at_ = 1e9, news_seen_ = 0, news_tokens_ = 0;  // when to tell; what may be told
   double tokens_at_ = 0;
