--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -1,7 +1,9 @@
 // The codec on hand-made frames, whole and cut at every byte.
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <cstring>
+#include <string>
 
 #include "settings_parser.hpp"
 #include "wire_host.hpp"
@@ -81,6 +83,10 @@
     switch (reply[at]) {
       case 1: at += 19; break;
       case 2: at += 13; break;
+      case 4:
+        std::memcpy(&n, reply.data() + at + 7, 2);
+        at += 9U + n;
+        break;
       case 5: {
         std::uint32_t engine = 0;
         std::memcpy(&engine, reply.data() + at + 19, 4);
@@ -234,6 +240,33 @@
   EXPECT_FALSE(sends(host.reply_to(batch)).empty());
 }
 
+// A peer's message: an engine's mark, then threads in three bits and memory in five.
+TEST(Wire, PeersAreToldAndHeardWhateverTheirBytes) {
+  WireHost host;
+  const std::string text = std::string(boot) +
+                           "permissions.may_tell=true\nfamily_info.on_shortage=overcommit\n"
+                           "family_info.grants=true\nprices.peer=0.01\n";
+  Frame f;
+  list(provision(f, 1, text), 0, {70001, 9});
+  roster(f, 1, 0, 2);
+  host.reply_to(f.whole());
+  for (std::size_t length = 0; length <= 300; ++length) {
+    Frame g;
+    g.record(5).put(std::uint16_t{1}).put(std::uint16_t{0}).put(static_cast<std::uint16_t>(length));
+    for (std::size_t i = 0; i < length; ++i) g.put(static_cast<std::uint8_t>(i * 7));
+    EXPECT_TRUE(sends(host.reply_to(g.whole(2'000'000'000 + length))).empty());
+  }
+  Frame h;
+  call(h, 1, 7);
+  const auto reply = host.reply_to(h.whole(9'000'000'000));
+  const auto engine = sends(reply);
+  ASSERT_EQ(engine.size(), 1U);
+  const std::vector<std::uint8_t> message{static_cast<std::uint8_t>(engine[0] & 255U),
+                                          static_cast<std::uint8_t>(engine[0] >> 8U & 255U), 1U << 5U | 2U};
+  const auto found = std::search(reply.begin(), reply.end(), message.begin(), message.end());
+  EXPECT_NE(found, reply.end());
+}
+
 TEST(SettingsParser, ReadsWhatItKnowsAndSkipsTheRest) {
   const auto parsed = parse_settings(boot);
   ASSERT_TRUE(std::holds_alternative<ParsedSettings>(parsed));
