--- a/src/workload_manager.cpp
+++ b/src/workload_manager.cpp
@@ -11,7 +11,6 @@
 #include <array>
 #include <cmath>
 #include <deque>
-#include <limits>
 #include <map>
 #include <random>
 #include <set>
@@ -38,6 +37,7 @@
 constexpr double quota_slack = 3;  // requests of a tenant that may come at once beyond a second of its part
 constexpr double chance_margin = 1.5;  // deviations: few managers are at a small share's bound at once
 constexpr double memory_margin = 0.8;  // deviations, likewise: what fills memory stays longer
+constexpr double memory_ease = 3;  // times: the part of memory while engines report little
 constexpr double lane_ratio = 4;  // of the cores that a step of priority gets (wire: 1 : 4 : 8 : 16)
 constexpr double pressed_share = 0.7;  // of the thread bound: a key that waits its turn is no pressure
 constexpr double tie_scatter = 0.05;  // in own threads over the thread bound: what counts as a tie
@@ -270,9 +270,8 @@
 
   bool beyond_quota(std::uint32_t tenant) {
     if (tenant >= s_.tenants.size()) return false;
-    for (std::size_t i = 0; i < tenant_tokens_.size(); ++i) {
+    for (std::size_t i = 0; i < tenant_tokens_.size(); ++i)
       tenant_tokens_[i] = std::min(quota_depth(i), tenant_tokens_[i] + tenant_rate(i) * (now_ - tokens_at_));
-    }
     tokens_at_ = now_;
     if (tenant_tokens_[tenant] < 1) return true;
     tenant_tokens_[tenant] -= 1;
@@ -486,9 +485,8 @@
     const double expected = expected_run(r, a), age = now_ - a.sent;
     if (a.heard >= 0) {
       if (now_ - a.heard > note_gap * seconds(s_.note_period)) return true;
-      if (a.share <= 0) return false;
-      const double whole = (a.share_at - a.sent) / a.share;
-      return whole > plan_times * expected && whole - age > expected;
+      const double whole = (a.share_at - a.sent) / std::max(a.share, 1e-3);
+      return a.share > 0 && whole > plan_times * expected && whole - age > expected;
     }
     const ClassState& c = classes_[r.cls];
     const double times = std::max(cut_times, std::exp(cut_scatter * c.scatter));
@@ -613,17 +611,19 @@
 
   // This manager's part of the threads of all engines, and of the memory that told queries leave.
   void set_parts() {
-    double all = 0, memory = 0;
+    double all = 0, memory = 0, cores = 0;
     ready_ = ill_ = 0;
     for (const auto& [id, e] : engines_) {
-      if (!e.ready()) continue;
-      ready_ += 1, ill_ += e.health == Health::well ? 0 : 1;
-      if (e.health != Health::well) continue;
-      all += bound_of(e);
+      if (e.ready()) ready_ += 1, ill_ += e.health == Health::well ? 0 : 1;
+      if (!e.ready() || e.health != Health::well) continue;
+      all += bound_of(e), cores += e.cores;
       memory += std::max(0.0, e.size - e.told_memory - (peers_.empty() ? 0 : e.memory));
     }
     total_bound_ = all + chance_margin * std::sqrt(all);
-    memory_bound_ = memory / instances_;
+    double held = zone_load_.empty() ? cores : 1;
+    for (const auto& [zone, load] : zone_load_) held = std::max(held, load);
+    // Binds only under pressure: while engines report fewer queries than they have cores, it is eased.
+    memory_bound_ = memory / instances_ * std::clamp(cores / std::max(ready_, 1.0) / held, 1.0, memory_ease);
   }
 
   // What can no longer be answered in time, or only for nothing, is answered at once.
@@ -646,7 +646,7 @@
     const double leave = doubt_weight * s_.zone_price / worth_share(r.cls);
     const double by_zone = 2 * zone_weight * std::generate_canonical<double, 32>(random_);
     Engine* best = nullptr;
-    double best_load = std::numeric_limits<double>::infinity();
+    double best_load = 0;
     for (auto& [id, e] : engines_) {
       if (!may_send(r, e) || e.health == Health::shunned || now_ < e.full_until) continue;
       const bool trial = e.health == Health::trial;
@@ -663,7 +663,7 @@
       for (const Attempt& a : r.attempts) load += a.engine == id ? retried_penalty : 0;
       // One query at a time finds out whether it is well again, whatever was seen before.
       load += trial ? -1 : doubt_weight * doubt(e);
-      if (load < best_load) best = &e, best_load = load;
+      if (best == nullptr || load < best_load) best = &e, best_load = load;
     }
     return best;
   }
