--- a/adapter/settings_parser.cpp
+++ b/adapter/settings_parser.cpp
@@ -216,7 +216,6 @@
   out.may_run_twice_at_once = in.flag("permissions.parallel_tries");
   out.may_tell_peers = in.flag("permissions.may_tell");
   out.zone_price = in.number<double>("prices.cross_zone");
-  out.probe_price = in.number<double>("prices.probe");
   out.told_attempt_bytes = told_attempt_bytes;
   out.tell_price = in.number<double>("prices.peer");
   out.most_attempts = in.integer<std::uint32_t>("permissions.max_attempts");
--- a/adapter/wire_host.cpp
+++ b/adapter/wire_host.cpp
@@ -208,7 +208,6 @@
     const auto value = static_cast<double>(in.take<float>());
     if (i >= names.size()) continue;
     if (names[i] == "outstanding") report.queries = value;
-    if (names[i] == "backlog") report.waiting = value;
   }
   return report;
 }
--- a/include/paddlestand/workload_manager.hpp
+++ b/include/paddlestand/workload_manager.hpp
@@ -93,10 +93,9 @@
   bool may_advise_retry{};
   bool may_run_twice_at_once{};
   bool may_tell_peers{};
-  // In points of the worth of a mean request: for each attempt that leaves the zone, each probe, each 256
-  // bytes that a peer is told.
+  // In points of the worth of a mean request: for each attempt that leaves the zone, each 256 bytes that
+  // a peer is told.
   double zone_price{};
-  double probe_price{};
   double tell_price{};
   double told_attempt_bytes{};  // that a told attempt takes in a message
   std::uint32_t most_attempts{};
@@ -113,7 +112,6 @@
 
 struct LoadReport {
   std::optional<double> queries;  // held by the engine
-  std::optional<double> waiting;  // queries that wait for its memory
 };
 
 struct EngineEntry {
--- a/src/workload_manager.cpp
+++ b/src/workload_manager.cpp
@@ -318,7 +318,7 @@
     r.attempts.push_back(a);
     if (s_.priorities_heeded || s_.grants_heeded) {
       const double spare = s_.when_memory_short == Shortage::overcommit ? unused_grant : 1;
-      act(SetTerms{r.id, priority_of(r), s_.grants_heeded ? granted(r) * spare : 0.0});
+      act(SetTerms{r.id, a.lane, s_.grants_heeded ? a.memory * spare : 0.0});
     }
     act(Send{r.id, e.entry.engine, duration(r.deadline - end_margin_ - now_)});
   }
@@ -522,6 +522,8 @@
     return usable(r.memory, 0.0) * corrected * memory_quarter;
   }
 
+  double worth_of(std::size_t cls) const { return usable(s_.classes[cls].worth, 1e-3); }
+
   struct Mix {
     double requests = 0, worth = 0, work = 0;
   };
@@ -529,7 +531,7 @@
     Mix m;
     for (std::size_t i = 0; i < classes_.size(); ++i) {
       m.requests += classes_[i].arrivals;
-      m.worth += classes_[i].arrivals * usable(s_.classes[i].worth, 1e-3);
+      m.worth += classes_[i].arrivals * worth_of(i);
       m.work += classes_[i].arrivals * classes_[i].mean_cost * classes_[i].bias;
     }
     return m;
@@ -537,7 +539,7 @@
 
   double worth_share(std::uint32_t cls) const {  // of a mean request's worth
     const Mix m = mix();
-    return usable(s_.classes[cls].worth, 1e-3) * std::max(m.requests, 1.0) / std::max(m.worth, 1e-3);
+    return worth_of(cls) * std::max(m.requests, 1.0) / std::max(m.worth, 1e-3);
   }
 
   // Is a query of this class worth the messages that tell all peers of its start and its end? Where it waits
@@ -599,8 +601,7 @@
   std::uint8_t priority_of(const Request& r) const {
     const Mix m = mix();
     if (r.over_share || now_ > r.arrived + aim_of(r)) return 0;
-    const double against =
-        usable(s_.classes[r.cls].worth, 1e-3) / cost_of(r) * m.work / std::max(m.worth, 1e-6);
+    const double against = worth_of(r.cls) / cost_of(r) * m.work / std::max(m.worth, 1e-6);
     return against > 2 ? 3 : against > 0.7 ? 2 : against > 0.25 ? 1 : 0;
   }
 
@@ -676,7 +677,7 @@
     }
     if (order.empty()) return;
     const auto density = [this](std::size_t i) {
-      return usable(s_.classes[i].worth, 1e-3) / std::max(classes_[i].mean_cost * classes_[i].bias, 1e-3);
+      return worth_of(i) / std::max(classes_[i].mean_cost * classes_[i].bias, 1e-3);
     };
     std::stable_sort(order.begin(), order.end(), [&](auto a, auto b) { return density(a) > density(b); });
     for (const std::size_t i : order) {
