--- a/src/workload_manager.cpp
+++ b/src/workload_manager.cpp
@@ -104,6 +104,7 @@
   double arrived{}, deadline{}, tables{};
   double told{}, memory{};  // cost, or the class's mean where none was told; memory need, MB, or 0
   bool cost_told = false, over_share = false, held = false, over = false;
+  bool begun = false;  // part of its answer went to the client: nothing can be sent for it again
   std::vector<Attempt> attempts;
   [[nodiscard]] bool attempt_out() const {
     return std::any_of(attempts.begin(), attempts.end(), [](const Attempt& a) { return a.out; });
@@ -755,7 +756,7 @@
 
   // May this attempt be sent now? Every send passes here.
   bool may_send(const Request& r, const Engine& e) const {
-    if (r.over || r.attempt_out() || now_ >= r.deadline - end_margin_) return false;
+    if (r.over || r.begun || r.attempt_out() || now_ >= r.deadline - end_margin_) return false;
     if (!r.attempts.empty() && r.attempts.size() >= s_.most_attempts) return false;
     return e.ready() && placement_allows(r, e) && effect_allows(r, e) && has_turn(r) && within_budget(r) &&
            cold_allows(r, e);
@@ -771,7 +772,7 @@
 
   // Could a further attempt be made at all, once the present one has ended in doubt?
   bool may_go_on(const Request& r) const {
-    if (r.attempts.size() >= s_.most_attempts || hopeless(r) || !within_budget(r)) return false;
+    if (r.begun || r.attempts.size() >= s_.most_attempts || hopeless(r) || !within_budget(r)) return false;
     return std::any_of(engines_.begin(), engines_.end(), [&](const auto& e) {
       return placement_allows(r, e.second) && effect_allows(r, e.second);
     });
@@ -837,7 +838,10 @@
     !admits(kept) || hopeless(kept) ? answer(kept) : hold(kept);
   }
 
-  void on(const AnswerStarted&) {}  // no class streams here
+  void on(const AnswerStarted& event) {
+    const auto found = requests_.find(event.request);
+    if (found != requests_.end()) found->second.begun = true;
+  }
 
   void on(const AttemptEnded& event) {
     const auto found = requests_.find(event.request);
