--- /dev/null
+++ b/apps/commands.hpp
@@ -0,0 +1,13 @@
+// What the parts of the command line share.
+#pragma once
+
+#include <CLI/CLI.hpp>
+
+namespace paddlestand::app {
+
+inline constexpr int exit_well = 0;
+inline constexpr int exit_failed = 1;  // a command failed; a day broke a rule
+inline constexpr int exit_bad_input = 2;
+inline constexpr int exit_bad_usage = 3;
+
+}  // namespace paddlestand::app
--- /dev/null
+++ b/apps/paddlestand.cpp
@@ -0,0 +1,139 @@
+// The command line.
+#include <openssl/rand.h>
+#include <sys/resource.h>
+
+#include <CLI/CLI.hpp>
+#include <boost/asio/io_context.hpp>
+#include <cstdio>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+#include "commands.hpp"
+#include "config/manager_config.hpp"
+#include "service/manager.hpp"
+#include "service/users.hpp"
+
+namespace paddlestand::app {
+namespace {
+
+int complain(const std::string& text) {
+  std::cerr << "paddlestand: " << text << "\n";
+  return exit_bad_input;
+}
+
+// Sessions and links want descriptors; an ordinary user may raise the soft limit up to the hard one.
+void raise_descriptors() {
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) != 0) return;
+  limit.rlim_cur = limit.rlim_max;
+  setrlimit(RLIMIT_NOFILE, &limit);
+}
+
+int serve(const std::string& path, const std::string& port_file, bool keep_limit) {
+  auto read = config::read_manager_config(path);
+  if (const auto* fault = std::get_if<config::Fault>(&read)) return complain(fault->text());
+  auto& config = std::get<config::ManagerConfig>(read);
+  pg::Users users;
+  std::string password;
+  if (const auto problem = service::read_users(config.listen, users); !problem.empty())
+    return complain(problem);
+  if (const auto problem = service::read_secret(config.login.password_file, password); !problem.empty())
+    return complain(problem);
+  if (!keep_limit) raise_descriptors();
+  boost::asio::io_context io(1);
+  service::Manager manager(io, std::move(config), path, std::move(users), password);
+  try {
+    manager.start();
+  } catch (const boost::system::system_error& error) {
+    std::cerr << "paddlestand: can't listen: " << error.code().message() << "\n";
+    return exit_failed;
+  }
+  if (!port_file.empty()) {
+    // Whole or not at all, since somebody waits for it.
+    const std::string fresh = port_file + ".new";
+    std::ofstream(fresh) << manager.port() << "\n";
+    if (std::rename(fresh.c_str(), port_file.c_str()) != 0) return complain(port_file + ": can't be written");
+  }
+  try {
+    io.run();
+  } catch (const std::exception& error) {
+    // A manager that has lost track of an attempt can keep no promise about it.
+    manager.log().error("assertion", error.what());
+    std::cerr << "paddlestand: " << error.what() << "\n";
+    return exit_failed;
+  }
+  return exit_well;
+}
+
+int check_config(const std::string& path) {
+  const auto read = config::read_manager_config(path);
+  if (const auto* fault = std::get_if<config::Fault>(&read)) return complain(fault->text());
+  const auto& config = std::get<config::ManagerConfig>(read);
+  std::size_t engines = config.engines.size();
+  if (!config.engines_file.empty()) {
+    const auto list = config::read_engine_list(config.engines_file, config);
+    if (const auto* fault = std::get_if<config::Fault>(&list)) return complain(fault->text());
+    engines = std::get<std::vector<config::ListedEngine>>(list).size();
+  }
+  pg::Users users;
+  std::string password;
+  if (const auto problem = service::read_users(config.listen, users); !problem.empty())
+    return complain(problem);
+  if (const auto problem = service::read_secret(config.login.password_file, password); !problem.empty())
+    return complain(problem);
+  std::cout << path << ": manager '" << config.name << "', " << config.core.module.classes.size()
+            << " classes, " << engines << " engines, " << users.verifiers.size() << " users\n";
+  return exit_well;
+}
+
+// Reads a password from standard input, so that it stands in no list of processes and no history.
+int make_verifier(const std::string& user) {
+  std::string password;
+  std::getline(std::cin, password);
+  if (password.empty()) return complain("wanted: a password, as one line on standard input");
+  std::string salt(16, '\0');
+  RAND_bytes(reinterpret_cast<unsigned char*>(salt.data()), static_cast<int>(salt.size()));
+  std::cout << user << " " << pg::Verifier::of_password(password, salt).text() << "\n";
+  return exit_well;
+}
+
+}  // namespace
+}  // namespace paddlestand::app
+
+int main(int argc, char** argv) {
+  using namespace paddlestand;
+  CLI::App app{"paddlestand: a workload manager before analytic engines"};
+  app.require_subcommand(1);
+  app.footer(
+      "Exit codes: 0 well; 1 the command failed, or a day broke a rule; 2 bad input or settings,\n"
+      "told on standard error as file:line: what was wanted; 3 bad usage.\n"
+      "More: docs/operators/ in the sources.");
+  int result = 0;
+
+  std::string config, port_file, user;
+  bool keep_limit = false;
+  auto* serve = app.add_subcommand("serve", "Run the workload manager until SIGTERM");
+  serve->add_option("-c,--config", config, "Its settings (XML, schema/manager.xsd)")->required();
+  serve->add_option("--port-file", port_file, "Write the port that it listens on to this file");
+  serve->add_flag("--keep-descriptor-limit", keep_limit, "Don't raise the soft limit of descriptors");
+  serve->callback([&] { result = app::serve(config, port_file, keep_limit); });
+
+  auto* check = app.add_subcommand("check-config", "Read settings and all that they name; say what is wrong");
+  check->add_option("config", config, "The settings")->required();
+  check->callback([&] { result = app::check_config(config); });
+
+  auto* verifier =
+      app.add_subcommand("make-verifier", "Turn a password on standard input into a users' file line");
+  verifier->add_option("user", user, "The user's name")->required();
+  verifier->callback([&] { result = app::make_verifier(user); });
+
+  app.add_subcommand("version", "Print the version")->callback([] { std::cout << "paddlestand 0.2.0\n"; });
+
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& error) {
+    return app.exit(error) == 0 ? app::exit_well : app::exit_bad_usage;
+  }
+  return result;
+}
--- /dev/null
+++ b/src/config/manager_config.cpp
@@ -0,0 +1,292 @@
+#include "manager_config.hpp"
+
+#include <cmath>
+#include <filesystem>
+#include <optional>
+
+namespace paddlestand::config {
+namespace {
+
+using Names = std::map<std::string, std::uint32_t>;
+
+std::string beside(const std::string& config, const std::string& path) {
+  if (path.empty()) return {};
+  return std::filesystem::absolute(std::filesystem::path(config).parent_path() / path).string();
+}
+
+std::string list(const Names& names) {
+  std::string out;
+  for (const auto& [name, place] : names) out += (out.empty() ? "" : ", ") + name;
+  return out;
+}
+
+// Thrown while a file is read, caught where reading began.
+struct Stop {
+  Fault fault;
+};
+
+class Reading {
+ public:
+  explicit Reading(std::string file) : file_(std::move(file)) {}
+
+  [[noreturn]] void fail(const Element& at, std::string what) const {
+    throw Stop{{file_, at.line(), std::move(what)}};
+  }
+
+  std::uint32_t place(const Element& at, const Names& names, const std::string& name,
+                      const char* what) const {
+    const auto found = names.find(name);
+    if (found == names.end())
+      fail(at, std::string("unknown ") + what + " '" + name + "'; wanted one of: " + list(names));
+    return found->second;
+  }
+
+  std::vector<ListedEngine> engines(const Element& root, const Names& zones, const Names& kinds) const {
+    std::vector<ListedEngine> out;
+    for (const Element& one : root.children("engine")) {
+      ListedEngine engine;
+      engine.entry.engine = one.count("id");
+      engine.entry.state = one.text("state") == "draining" ? EngineState::draining : EngineState::ready;
+      engine.entry.kind = place(one, kinds, one.text("kind"), "kind");
+      if (one.has("zone")) engine.entry.zone = place(one, zones, one.text("zone"), "zone");
+      engine.entry.cell = one.count("cell");
+      engine.entry.weight = one.number("weight");
+      engine.entry.started = Duration{std::llround(one.number("started") * 1e9)};
+      engine.at = {one.text("name"), one.text("address"), static_cast<std::uint16_t>(one.count("port"))};
+      if (engine.at.port == 0) fail(one, "port 0; wanted: 1 to 65535");
+      out.push_back(std::move(engine));
+    }
+    return out;
+  }
+
+  ClassSettings read_class(const Element& one, const Names& zones, const Names& kinds) const {
+    ClassSettings out;
+    out.name = one.text("name");
+    out.aim = one.time("aim");
+    out.aim_stretch = one.number("aim-stretch");
+    out.deadline = one.time("deadline");
+    out.worth = one.number("worth");
+    out.late_worth = one.number("late-worth");
+    out.threads = one.number("threads");
+    const std::string repeat = one.text("repeat"), scope = one.text("key-scope");
+    out.repeat = repeat == "safe" ? Repeat::safe : repeat == "keyed" ? Repeat::keyed : Repeat::unsafe;
+    out.key_scope = scope == "all" ? KeyScope::all : scope == "zone" ? KeyScope::zone : KeyScope::cell;
+    out.key_window = one.time("key-window");
+    out.in_turn = one.flag("in-turn");
+    out.writes_tables = one.flag("writes-tables");
+    out.waits_for_writers = one.flag("waits-for-writers");
+    const auto places = [&](const char* attribute, const Names& names, const char* what) {
+      std::optional<std::vector<std::uint32_t>> found;
+      if (!one.has(attribute)) return found;
+      found.emplace();
+      for (const std::string& name : one.words(attribute)) found->push_back(place(one, names, name, what));
+      return found;
+    };
+    out.allowed_zones = places("zones", zones, "zone");
+    out.allowed_kinds = places("kinds", kinds, "kind");
+    if (out.deadline.count() <= 0) fail(one, "deadline of class '" + out.name + "'; wanted: more than 0");
+    if (out.aim > out.deadline)
+      fail(one, "aim of class '" + out.name + "' lies behind its deadline; wanted: aim <= deadline");
+    if (out.repeat == Repeat::keyed && out.key_window.count() == 0)
+      fail(one, "class '" + out.name + "' is keyed; wanted: a key-window of more than 0");
+    return out;
+  }
+
+  void decisions(const Element& at, Settings& out) const {
+    out.instances = at.count("instances");
+    out.position = at.count("position");
+    if (out.position >= out.instances)
+      fail(at, "position " + std::to_string(out.position) + " of " + std::to_string(out.instances) +
+                   " instances; wanted: 0 to one less than instances");
+    out.seed = at.integer("seed");
+    out.clock_step = at.time("clock-step");
+    if (out.clock_step < std::chrono::milliseconds(1) || out.clock_step > std::chrono::seconds(1))
+      fail(at, "clock-step; wanted: 1ms to 1s");
+    out.most_attempts = at.count("most-attempts");
+    if (out.most_attempts > 100) fail(at, "most-attempts; wanted: 1 to 100");
+    out.grants_heeded = at.flag("grants-heeded");
+    out.priorities_heeded = at.flag("priorities-heeded");
+    out.answers_tell_cost = at.flag("answers-tell-cost");
+    out.largest_grant_share = at.number("largest-grant-share");
+    const std::string shortage = at.text("memory-shortage");
+    out.when_memory_short = shortage == "wait"  ? Shortage::wait_in_line
+                            : shortage == "cut" ? Shortage::cut_grant
+                                                : Shortage::overcommit;
+    out.note_period = at.time("note-period");
+    out.may_cancel = at.flag("may-cancel");
+    out.may_probe = at.flag("may-probe");
+    out.may_advise_retry = at.flag("may-advise-retry");
+    out.longest_retry_advice = at.time("longest-retry-advice");
+    out.zone_price = at.number("zone-price");
+    out.drain_grace = at.time("drain-grace");
+    out.cold_share = at.number("cold-share");
+    out.cold_time = at.time("cold-time");
+    out.fall_multiple = at.number("fall-multiple");
+    out.fall_window = at.time("fall-window");
+    out.order_settle = at.time("order-settle");
+    const int budget = (at.has("budget-floor") ? 1 : 0) + (at.has("budget-share") ? 1 : 0) +
+                       (at.has("budget-window") ? 1 : 0);
+    if (budget != 0 && budget != 3) fail(at, "budget-floor, budget-share and budget-window come together");
+    if (budget == 3)
+      out.attempt_budget =
+          AttemptBudget{at.number("budget-floor"), at.number("budget-share"), at.time("budget-window")};
+  }
+
+  ManagerConfig manager(const Element& root) const {
+    if (root.name() != "manager") fail(root, "element '" + root.name() + "'; wanted: manager");
+    ManagerConfig out;
+    out.name = root.text("name");
+    const Element listen = *root.child("listen");
+    out.listen.address = listen.text("address");
+    out.listen.port = static_cast<std::uint16_t>(listen.count("port"));
+    out.listen.scram = listen.text("authentication") == "scram";
+    out.listen.users_file = beside(file_, listen.text("users"));
+    out.listen.most_sessions = listen.count("most-sessions");
+    out.listen.login_time = listen.time("login-time");
+    out.listen.write_stall = listen.time("write-stall");
+    out.listen.most_message = listen.bytes("most-message");
+    const bool loopback = out.listen.address.starts_with("127.") || out.listen.address == "::1";
+    if (!out.listen.scram && !loopback)
+      fail(listen, "authentication 'trust' on address " + out.listen.address +
+                       "; wanted: scram, or an address of 127.0.0.0/8 or ::1");
+    if (out.listen.scram && !listen.has("users"))
+      fail(listen, "authentication 'scram'; wanted: a users file");
+
+    auto& module = out.core.module;
+    if (const auto zones = root.child("zones")) {
+      for (const std::string& name : zones->words("names"))
+        if (!out.zones.emplace(name, out.zones.size()).second)
+          fail(*zones, "zone '" + name + "' comes twice");
+      module.zone = place(*zones, out.zones, zones->text("own"), "zone");
+    }
+    for (const Element& one : root.child("kinds")->children("kind")) {
+      out.kinds.emplace(one.text("name"), out.kinds.size());
+      module.kinds.push_back({one.number("cores"), one.number("memory-mb")});
+    }
+    const Element classes = *root.child("classes");
+    for (const Element& one : classes.children("class"))
+      module.classes.push_back(read_class(one, out.zones, out.kinds));
+    out.classifier.class_otherwise = classes.text("otherwise");
+    if (const auto tenants = root.child("tenants")) {
+      for (const Element& one : tenants->children("tenant"))
+        module.tenants.push_back({one.text("name"), one.number("quota-per-s")});
+      out.classifier.tenant_otherwise = tenants->text("otherwise");
+    }
+    decisions(*root.child("decisions"), module);
+    Element rules_at = classes;
+    if (const auto rules = root.child("rules")) {
+      rules_at = *rules;
+      out.classifier.refuse_unknown_tags = rules->text("unknown-tags") == "refuse";
+      for (const Element& one : rules->children("rule")) {
+        ClassRule rule{one.text("user"),      one.text("database"), one.text("application"),
+                       one.text("statement"), one.text("class"),    one.text("tenant")};
+        out.classifier.rules.push_back(rule);
+        core::ClassifierSettings alone;
+        alone.class_otherwise = module.classes.front().name;
+        alone.rules = {rule};
+        if (const core::Classifier tried(alone, module); !tried.problem().empty()) fail(one, tried.problem());
+      }
+    }
+    if (const core::Classifier tried(out.classifier, module); !tried.problem().empty())
+      fail(rules_at, tried.problem());
+
+    if (const auto links = root.child("engine-links")) {
+      out.login = {links->text("user"), links->text("database"), beside(file_, links->text("password-file"))};
+      out.core.links_per_engine = links->count("most-per-engine");
+      out.core.idle_links_per_engine = links->count("idle-per-engine");
+      out.core.idle_link_life = links->time("idle-life");
+      out.core.connect_time_out = links->time("connect-time");
+      out.core.probe_time_out = links->time("probe-time");
+      out.core.cancel_grace = links->time("cancel-grace");
+    } else {
+      using namespace std::chrono_literals;
+      out.login = {"paddlestand", "paddlestand", {}};
+      out.core.idle_link_life = 60s;
+      out.core.connect_time_out = out.core.probe_time_out = 250ms;
+      out.core.cancel_grace = 500ms;
+    }
+    if (const auto buffers = root.child("buffers")) {
+      out.core.answer_buffer = buffers->bytes("answer");
+      out.core.client_window = buffers->bytes("client");
+      out.core.buffers_in_total = buffers->bytes("total");
+    }
+    const Element engines_at = *root.child("engines");
+    out.engines = engines(engines_at, out.zones, out.kinds);
+    out.engines_file = beside(file_, engines_at.text("file"));
+    out.engines_poll = engines_at.time("poll");
+    if (out.engines_poll < std::chrono::milliseconds(10)) fail(engines_at, "poll; wanted: 10ms or more");
+    if (!out.engines_file.empty() && !out.engines.empty())
+      fail(engines_at, "engines both here and in a file; wanted: one of the two");
+    if (const auto log = root.child("log")) {
+      out.log = {log->text("level"),       log->text("file"),   log->text("format"),
+                 log->bytes("most-bytes"), log->count("files"), log->flag("answers")};
+      if (out.log.file != "-") out.log.file = beside(file_, out.log.file);
+    }
+    if (const auto leave = root.child("leave")) out.leave_grace = leave->time("grace");
+    return out;
+  }
+
+ private:
+  using ClassRule = core::ClassRule;
+  std::string file_;
+};
+
+std::variant<ManagerConfig, Fault> manager_of(std::variant<Document, Fault> read, const std::string& name) {
+  if (auto* fault = std::get_if<Fault>(&read)) return std::move(*fault);
+  try {
+    return Reading(name).manager(std::get<Document>(read).root());
+  } catch (Stop& stop) { return std::move(stop.fault); }
+}
+
+}  // namespace
+
+std::variant<ManagerConfig, Fault> read_manager_config(const std::string& path) {
+  return manager_of(Document::read(path, manager_schema), path);
+}
+
+std::variant<ManagerConfig, Fault> parse_manager_config(std::string_view text, const std::string& name) {
+  return manager_of(Document::parse(text, name, manager_schema), name);
+}
+
+std::variant<std::vector<ListedEngine>, Fault> read_engine_list(const std::string& path,
+                                                                const ManagerConfig& config) {
+  auto read = Document::read(path, manager_schema);
+  if (auto* fault = std::get_if<Fault>(&read)) return std::move(*fault);
+  try {
+    const Element root = std::get<Document>(read).root();
+    const Reading reading(path);
+    if (root.name() != "engines") reading.fail(root, "element '" + root.name() + "'; wanted: engines");
+    return reading.engines(root, config.zones, config.kinds);
+  } catch (Stop& stop) { return std::move(stop.fault); }
+}
+
+std::string not_reloadable(const ManagerConfig& old, const ManagerConfig& fresh) {
+  if (old.name != fresh.name) return "the manager's name";
+  if (!(old.listen == fresh.listen)) return "listen";
+  if (!(old.login == fresh.login)) return "engine-links";
+  if (old.zones != fresh.zones) return "zones";
+  if (old.kinds != fresh.kinds) return "kinds";
+  const Settings &a = old.core.module, &b = fresh.core.module;
+  if (a.classes.size() != b.classes.size()) return "classes";
+  for (std::size_t i = 0; i < a.classes.size(); ++i) {
+    const ClassSettings &x = a.classes[i], &y = b.classes[i];
+    if (x.name != y.name || x.aim != y.aim || x.deadline != y.deadline || x.worth != y.worth ||
+        x.repeat != y.repeat || x.in_turn != y.in_turn || x.key_window != y.key_window)
+      return "class '" + x.name + "'";
+  }
+  if (a.tenants.size() != b.tenants.size()) return "tenants";
+  for (std::size_t i = 0; i < a.tenants.size(); ++i)
+    if (a.tenants[i].name != b.tenants[i].name || a.tenants[i].quota_per_s != b.tenants[i].quota_per_s)
+      return "tenants";
+  if (a.instances != b.instances || a.position != b.position || a.seed != b.seed ||
+      a.clock_step != b.clock_step || a.most_attempts != b.most_attempts || a.drain_grace != b.drain_grace)
+    return "decisions";
+  const core::CoreSettings &p = old.core, &q = fresh.core;
+  if (p.links_per_engine != q.links_per_engine || p.connect_time_out != q.connect_time_out ||
+      p.answer_buffer != q.answer_buffer || p.buffers_in_total != q.buffers_in_total)
+    return "engine-links or buffers";
+  if (old.engines_file != fresh.engines_file) return "the name of the engines' file";
+  return {};
+}
+
+}  // namespace paddlestand::config
--- a/src/core/conductor.cpp
+++ b/src/core/conductor.cpp
@@ -524,7 +524,7 @@
     return end_probe(event.link, well ? Result::served : Result::engine_error, &event);
   }
   if (!link->query) fail_assertion("link", event.link, "an answer ended where none was asked for");
-  const bool clean = link->state.is(LinkState::busy);
+  const bool clean = link->state.is(LinkState::busy) && event.reusable;
   mark_sent(*link);
   QueryRecord& query = queries_.at(*link->query);
   const std::uint32_t index = link->attempt;
@@ -543,6 +543,8 @@
   }
   if (result == Result::served && !query.over()) {
     deliver(event.link, *link, query);
+    attempt.result = result;
+    attempt.took = now_ - attempt.began;
     answer(query, AnswerKind::served, Repeatable::unknown);
   }
   end(query, index, result, &event);
--- a/src/core/types.hpp
+++ b/src/core/types.hpp
@@ -79,6 +79,7 @@
   LinkId link{};
   Ending ending{};
   std::size_t bytes{};  // of the answer, not told by an AnswerPart yet
+  bool reusable = true;  // the engine holds no state of this query's, such as a transaction left open
   std::optional<Duration> work;
   std::optional<double> memory_mb;
   LoadReport report;
--- /dev/null
+++ b/src/observe/log.cpp
@@ -0,0 +1,110 @@
+#include "log.hpp"
+
+#include <spdlog/pattern_formatter.h>
+#include <spdlog/sinks/rotating_file_sink.h>
+#include <spdlog/sinks/stdout_sinks.h>
+
+#include <array>
+#include <nlohmann/json.hpp>
+
+namespace paddlestand::observe {
+namespace {
+
+constexpr std::size_t most_waiting = 8192;  // lines; about 2 MiB
+
+std::string quoted(std::string_view text) {
+  return nlohmann::json(text).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+double milliseconds(Duration d) { return static_cast<double>(d.count()) * 1e-6; }
+
+}  // namespace
+
+std::string_view name_of(core::AnswerKind kind) {
+  constexpr std::array<std::string_view, 4> names{"served", "refused", "failed", "cancelled"};
+  return names[static_cast<std::size_t>(kind)];
+}
+
+std::string_view name_of(Result result) {
+  constexpr std::array<std::string_view, 8> names{"served",         "engine_error", "full",      "timed_out",
+                                                  "connect_failed", "reset",        "cancelled", "moot"};
+  return names[static_cast<std::size_t>(result)];
+}
+
+Log::Log(const config::LogConfig& config, std::string manager)
+    : manager_(std::move(manager)), json_(config.format == "json"), answers_(config.answers) {
+  spdlog::sink_ptr sink;
+  if (config.file == "-") {
+    sink = std::make_shared<spdlog::sinks::stderr_sink_mt>();
+  } else {
+    sink =
+        std::make_shared<spdlog::sinks::rotating_file_sink_mt>(config.file, config.most_bytes, config.files);
+  }
+  pool_ = std::make_shared<spdlog::details::thread_pool>(most_waiting, 1);
+  logger_ = std::make_shared<spdlog::async_logger>(manager_, sink, pool_,
+                                                   spdlog::async_overflow_policy::overrun_oldest);
+  logger_->set_error_handler([](const std::string&) {});  // a full disk: nothing to say it to
+  logger_->flush_on(spdlog::level::warn);
+  // Times are told in UTC, so that logs of several managers can be laid side by side.
+  logger_->set_formatter(std::make_unique<spdlog::pattern_formatter>(
+      json_ ? R"({"time":"%Y-%m-%dT%H:%M:%S.%fZ","manager":"%n","level":"%l",%v})" : "%H:%M:%S.%e %n %l %v",
+      spdlog::pattern_time_type::utc));
+  set_level(config.level);
+}
+
+Log::~Log() {
+  logger_->flush();
+  logger_.reset();
+  pool_.reset();  // waits until what is queued was written
+}
+
+void Log::set_level(std::string_view level) {
+  logger_->set_level(level == "debug"     ? spdlog::level::debug
+                     : level == "warning" ? spdlog::level::warn
+                     : level == "error"   ? spdlog::level::err
+                                          : spdlog::level::info);
+}
+
+std::size_t Log::lost() const { return pool_->overrun_counter(); }
+
+void Log::write(spdlog::level::level_enum level, std::string_view event, std::string_view text) {
+  if (!logger_->should_log(level)) return;
+  if (json_) {
+    logger_->log(level, R"("event":"{}","text":{})", event, quoted(text));
+  } else {
+    logger_->log(level, "{}: {}", event, text);
+  }
+}
+
+void Log::answer(const core::Answer& answer, std::string_view class_name) {
+  if (!answers_ || !logger_->should_log(spdlog::level::info)) return;
+  // Names in here are the settings' own and ours: nothing that needs quoting.
+  fmt::memory_buffer line;
+  const auto out = std::back_inserter(line);
+  if (json_) {
+    fmt::format_to(out, R"("event":"answer","query":{},"session":{},"class":"{}","kind":"{}")", answer.query,
+                   answer.session, class_name, name_of(answer.kind));
+    if (answer.time_up) fmt::format_to(out, R"(,"time_up":true)");
+    if (answer.begun) fmt::format_to(out, R"(,"begun":true)");
+    if (answer.retry_after.count() > 0)
+      fmt::format_to(out, R"(,"retry_after_ms":{:.3f})", milliseconds(answer.retry_after));
+    fmt::format_to(out, R"(,"took_ms":{:.3f},"attempts":[)", milliseconds(answer.took));
+    bool first = true;
+    for (const core::AttemptAccount& a : answer.attempts) {
+      fmt::format_to(out, R"({}{{"engine":{},"result":"{}","at_ms":{:.3f},"took_ms":{:.3f}}})",
+                     first ? "" : ",", a.engine, a.result ? name_of(*a.result) : "out", milliseconds(a.began),
+                     milliseconds(a.took));
+      first = false;
+    }
+    fmt::format_to(out, "]");
+  } else {
+    fmt::format_to(out, "answer: query {} class {} {}{} in {:.3f} ms;", answer.query, class_name,
+                   name_of(answer.kind), answer.time_up ? " (time up)" : "", milliseconds(answer.took));
+    for (const core::AttemptAccount& a : answer.attempts)
+      fmt::format_to(out, " engine {} {} after {:.3f} ms;", a.engine, a.result ? name_of(*a.result) : "out",
+                     milliseconds(a.took));
+  }
+  logger_->log(spdlog::level::info, std::string_view(line.data(), line.size()));
+}
+
+}  // namespace paddlestand::observe
--- /dev/null
+++ b/src/observe/log.hpp
@@ -0,0 +1,50 @@
+// Structured logs over spdlog: one JSON object a line, or the same for a console. Lines wait in a bounded
+// queue for a writer thread: where the disk is slow or full the oldest that wait are lost, and decisions go
+// on.
+#pragma once
+
+#include <spdlog/async.h>
+#include <spdlog/logger.h>
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "config/manager_config.hpp"
+#include "core/types.hpp"
+
+namespace paddlestand::observe {
+
+class Log {
+ public:
+  Log(const config::LogConfig& config, std::string manager);
+  ~Log();
+  Log(const Log&) = delete;
+  Log& operator=(const Log&) = delete;
+
+  void set_level(std::string_view level);
+
+  // `event` is a short fixed word, `text` for people.
+  void debug(std::string_view event, std::string_view text) { write(spdlog::level::debug, event, text); }
+  void info(std::string_view event, std::string_view text) { write(spdlog::level::info, event, text); }
+  void warn(std::string_view event, std::string_view text) { write(spdlog::level::warn, event, text); }
+  void error(std::string_view event, std::string_view text) { write(spdlog::level::err, event, text); }
+
+  void answer(const core::Answer& answer, std::string_view class_name);
+
+  // Lines that were lost because the queue was full.
+  [[nodiscard]] std::size_t lost() const;
+
+ private:
+  void write(spdlog::level::level_enum level, std::string_view event, std::string_view text);
+
+  std::string manager_;
+  bool json_, answers_;
+  std::shared_ptr<spdlog::details::thread_pool> pool_;
+  std::shared_ptr<spdlog::logger> logger_;
+};
+
+std::string_view name_of(core::AnswerKind kind);
+std::string_view name_of(Result result);
+
+}  // namespace paddlestand::observe
--- /dev/null
+++ b/src/service/link.hpp
@@ -0,0 +1,48 @@
+// A connection to an engine: connect, startup, one query after another.
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+
+#include "manager.hpp"
+
+namespace paddlestand::service {
+
+class Link : public std::enable_shared_from_this<Link> {
+ public:
+  using tcp = boost::asio::ip::tcp;
+
+  Link(Manager& manager, core::LinkId id, tcp::endpoint at);
+
+  void start();
+  void close();
+  void send(std::string bytes);  // QuerySent is told once all of it was handed to the socket
+  void pause() { paused_ = true; }
+  void resume();
+
+  [[nodiscard]] pg::EngineLink& protocol() { return protocol_; }
+  [[nodiscard]] tcp::endpoint at() const { return at_; }
+  // What is kept of an answer, told to the core so far.
+  void taken() { told_ = 0; }
+
+ private:
+  boost::asio::awaitable<void> run();
+  boost::asio::awaitable<void> write_on();
+  void lost(core::LinkLoss why);
+  void on_events(const std::vector<pg::LinkEvent>& events);
+
+  Manager& manager_;
+  core::LinkId id_;
+  tcp::endpoint at_;
+  tcp::socket socket_;
+  pg::EngineLink protocol_;
+  std::string writing_;
+  std::size_t written_ = 0;
+  std::size_t told_ = 0;  // bytes of the kept answer that the core knows of
+  bool up_ = false, closed_ = false, paused_ = false, writes_ = false;
+  boost::asio::steady_timer wake_;
+};
+
+}  // namespace paddlestand::service
--- /dev/null
+++ b/src/service/manager.cpp
@@ -0,0 +1,463 @@
+#include "manager.hpp"
+
+#include <openssl/rand.h>
+#include <sys/stat.h>
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include "link.hpp"
+#include "protocol/pg/sqlstate.hpp"
+#include "protocol/sql/scan.hpp"
+#include "protocol/sql/tags.hpp"
+#include "session.hpp"
+
+namespace paddlestand::service {
+namespace asio = boost::asio;
+using asio::experimental::awaitable_operators::operator||;
+using boost::system::error_code;
+using std::chrono::steady_clock;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t scratch_bytes = 64 * 1024;
+constexpr auto sweep_period = 1s;
+constexpr auto descriptor_rest = 100ms;  // after accept() found no descriptor free
+constexpr auto side_connection_time = 1s;  // cancels and changes of terms
+
+TimePoint now() { return steady_clock::now().time_since_epoch(); }
+
+std::uint32_t random_number() {
+  std::uint32_t value = 0;
+  RAND_bytes(reinterpret_cast<unsigned char*>(&value), sizeof(value));
+  return value;
+}
+
+}  // namespace
+
+Manager::Manager(asio::io_context& io, config::ManagerConfig config, std::string config_path, pg::Users users,
+                 std::string engine_password)
+    : io_(io),
+      config_(std::move(config)),
+      config_path_(std::move(config_path)),
+      users_(std::make_shared<const pg::Users>(std::move(users))),
+      engine_password_(std::move(engine_password)),
+      log_(config_.log, config_.name),
+      classifier_(config_.classifier, config_.core.module),
+      conductor_(config_.core),
+      acceptor_(io),
+      signals_(io, SIGTERM, SIGINT, SIGHUP),
+      timer_(io),
+      scratch_(scratch_bytes) {
+  front_settings_.most_message = config_.listen.most_message;
+  since_1970_ = now() - std::chrono::system_clock::now().time_since_epoch();
+}
+
+Manager::~Manager() = default;
+
+std::string Manager::nonce() {
+  unsigned char raw[18];
+  RAND_bytes(raw, sizeof(raw));
+  return pg::base64({reinterpret_cast<const char*>(raw), sizeof(raw)});
+}
+
+pg::EngineLogin Manager::engine_login() const {
+  return {config_.login.user, config_.login.database, "paddlestand/" + config_.name, engine_password_,
+          const_cast<Manager*>(this)->nonce()};
+}
+
+void Manager::start() {
+  const tcp::endpoint at(asio::ip::make_address(config_.listen.address), config_.listen.port);
+  acceptor_.open(at.protocol());
+  acceptor_.set_option(tcp::acceptor::reuse_address(true));
+  acceptor_.bind(at);
+  acceptor_.listen();
+  port_ = acceptor_.local_endpoint().port();
+  use_engines(config_.engines);
+  asio::co_spawn(io_, accept(), asio::detached);
+  asio::co_spawn(io_, sweep(), asio::detached);
+  asio::co_spawn(io_, signals(), asio::detached);
+  if (!config_.engines_file.empty()) asio::co_spawn(io_, watch_engines(), asio::detached);
+  log_.info("start", "listening on " + config_.listen.address + ":" + std::to_string(port_));
+}
+
+// ---- The core ----
+
+void Manager::tell(core::CoreEvent event) {
+  told_.push_back({std::move(event), std::nullopt});
+  drain();
+}
+
+void Manager::tell_end(const core::AnswerEnd& event, const pg::LinkAnswerEnd& end) {
+  told_.push_back({event, end});
+  drain();
+}
+
+// One event after another, with all that follows from each; what is told meanwhile waits.
+void Manager::drain() {
+  if (draining_ || stopped_) return;
+  draining_ = true;
+  while (!told_.empty() && !stopped_) {
+    const Told next = std::move(told_.front());
+    told_.pop_front();
+    current_end_ = next.end ? &*next.end : nullptr;
+    effects_.clear();
+    conductor_.handle(now(), next.event, effects_);
+    for (std::size_t i = 0; i < effects_.size(); ++i)
+      std::visit([this](const auto& effect) { carry_out(effect); }, effects_[i]);
+    current_end_ = nullptr;
+  }
+  draining_ = false;
+  arm();
+}
+
+void Manager::arm() {
+  const auto due = conductor_.due();
+  if (!due || stopped_ || (armed_ && *armed_ <= *due)) return;
+  armed_ = due;
+  timer_.expires_at(steady_clock::time_point(std::chrono::duration_cast<steady_clock::duration>(*due)));
+  timer_.async_wait([this](const error_code& error) {
+    if (error) return;
+    armed_.reset();
+    tell(core::TimeCame{});
+  });
+}
+
+std::shared_ptr<Link> Manager::find_link(core::LinkId id) const {
+  const auto found = links_.find(id);
+  return found == links_.end() ? nullptr : found->second;
+}
+
+std::shared_ptr<Session> Manager::find_session(core::SessionId id) const {
+  const auto found = sessions_.find(id);
+  return found == sessions_.end() ? nullptr : found->second;
+}
+
+void Manager::carry_out(const core::OpenLink& effect) {
+  const auto link = std::make_shared<Link>(*this, effect.link, engines_.at(effect.engine));
+  links_.emplace(effect.link, link);
+  link->start();
+}
+
+void Manager::carry_out(const core::SendQuery& effect) {
+  const auto link = find_link(effect.link);
+  const auto session = find_session(queries_.at(effect.query));
+  link->send(link->protocol().flight(session->query(), effect.priority, effect.memory_mb));
+}
+
+void Manager::carry_out(const core::SendProbe& effect) {
+  const auto link = find_link(effect.link);
+  link->send(link->protocol().probe());
+}
+
+void Manager::carry_out(const core::CancelOnEngine& effect) {
+  const auto link = find_link(effect.link);
+  asio::co_spawn(io_, cancel_on(link->at(), link->protocol().key()), asio::detached);
+}
+
+void Manager::carry_out(const core::ChangeTerms& effect) {
+  const auto link = find_link(effect.link);
+  std::string statement = "SELECT paddlestand.set_terms(" + std::to_string(link->protocol().key().process) +
+                          ", " + std::to_string(effect.priority) + ", " + std::to_string(effect.memory_mb) +
+                          ")";
+  asio::co_spawn(io_, change_terms(link->at(), std::move(statement)), asio::detached);
+}
+
+void Manager::carry_out(const core::CloseLink& effect) {
+  const auto link = find_link(effect.link);
+  link->close();
+  links_.erase(effect.link);
+}
+
+void Manager::carry_out(const core::Deliver& effect) {
+  const auto link = find_link(effect.link);
+  const auto session = find_session(effect.session);
+  link->taken();
+  if (session) session->deliver(link->protocol().answer(), link->protocol().mid_message());
+}
+
+void Manager::carry_out(const core::Discard& effect) {
+  const auto link = find_link(effect.link);
+  link->taken();
+  link->protocol().answer().clear();
+}
+
+void Manager::carry_out(const core::PauseLink& effect) { find_link(effect.link)->pause(); }
+void Manager::carry_out(const core::ResumeLink& effect) { find_link(effect.link)->resume(); }
+
+void Manager::carry_out(const core::Answer& effect) {
+  queries_.erase(effect.query);
+  log_.answer(effect, config_.core.module.classes[effect.class_index].name);
+  if (const auto session = find_session(effect.session)) session->answered(effect, current_end_);
+}
+
+void Manager::carry_out(const core::Remark& effect) { log_.info("judgment", effect.text); }
+
+void Manager::carry_out(const core::Left&) {
+  log_.info("left", "nothing is held any more");
+  // Last answers were handed to the sockets; a client that does not read them is not waited for long.
+  auto timer = std::make_shared<asio::steady_timer>(io_, 50ms);
+  timer->async_wait([this, timer](const error_code&) { stop(); });
+}
+
+void Manager::stop() {
+  stopped_ = true;
+  io_.stop();
+}
+
+// ---- Sessions ----
+
+asio::awaitable<void> Manager::accept() {
+  bool told = false;
+  for (;;) {
+    error_code error;
+    tcp::socket socket = co_await acceptor_.async_accept(asio::redirect_error(asio::use_awaitable, error));
+    if (leaving_ || error == asio::error::operation_aborted) co_return;
+    if (error) {
+      // No descriptor is free: who waits in the listen queue is taken when one is.
+      if (!told) log_.warn("accept", error.message() + "; connections wait");
+      told = true;
+      asio::steady_timer rest(io_, descriptor_rest);
+      co_await rest.async_wait(asio::redirect_error(asio::use_awaitable, error));
+      continue;
+    }
+    told = false;
+    if (sessions_.size() >= config_.listen.most_sessions) {
+      asio::co_spawn(io_, say_full(std::move(socket)), asio::detached);
+      continue;
+    }
+    const core::SessionId id = ++last_session_;
+    const pg::CancelKey key{static_cast<std::uint32_t>(id & 0x7fffffffU), random_number()};
+    const auto session = std::make_shared<Session>(*this, std::move(socket), id, key);
+    sessions_.emplace(id, session);
+    session->start();
+  }
+}
+
+asio::awaitable<void> Manager::say_full(tcp::socket socket) {
+  std::string bytes;
+  auto fields = pg::error(
+      "53300", "too many sessions; wanted: at most " + std::to_string(config_.listen.most_sessions));
+  fields.severity = "FATAL";
+  pg::put_error(bytes, fields);
+  error_code ignored;
+  socket.non_blocking(true, ignored);
+  socket.write_some(asio::buffer(bytes), ignored);
+  // Its startup message is taken from the socket, lest the close cut off what was said.
+  asio::steady_timer rest(io_, 200ms);
+  char unused[1024];
+  co_await (
+      socket.async_read_some(asio::buffer(unused), asio::redirect_error(asio::use_awaitable, ignored)) ||
+      rest.async_wait(asio::redirect_error(asio::use_awaitable, ignored)));
+}
+
+void Manager::session_gone(core::SessionId id) { sessions_.erase(id); }
+
+void Manager::ask(const std::shared_ptr<Session>& session, const pg::FrontRequest& request) {
+  core::RequestFacts facts;
+  facts.user = session->front().user();
+  facts.database = session->front().database();
+  facts.application = session->front().application();
+  facts.statement = request.text;
+  facts.time_out = request.statement_timeout;
+  for (const std::string_view comment : sql::scan(request.text).comments) {
+    const auto tags = sql::read_tags(comment);
+    facts.tags.insert(facts.tags.end(), tags.begin(), tags.end());
+  }
+  auto classed = classifier_.classify(facts);
+  if (const auto* problem = std::get_if<core::Problem>(&classed)) {
+    session->refuse(pg::error("22023", problem->text));
+    return;
+  }
+  auto& arrived = std::get<core::QueryArrived>(classed);
+  arrived.session = session->id();
+  arrived.query = ++last_query_;
+  session->request_ = request.query;
+  queries_.emplace(arrived.query, session->id());
+  tell(arrived);
+}
+
+void Manager::cancel_session(pg::CancelKey key) {
+  // Processes are numbered by sessions, which are never numbered twice within two thousand million.
+  for (const std::uint64_t high : {std::uint64_t{0}, last_session_ & ~std::uint64_t{0x7fffffff}}) {
+    const auto session = find_session(high | key.process);
+    if (session && session->key() == key) return tell(core::CancelAsked{session->id()});
+  }
+  log_.info("cancel", "a cancel with a key of no session");
+}
+
+asio::awaitable<void> Manager::sweep() {
+  asio::steady_timer timer(io_);
+  for (;;) {
+    timer.expires_after(sweep_period);
+    error_code error;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
+    if (error || stopped_) co_return;
+    std::vector<std::shared_ptr<Session>> all;
+    all.reserve(sessions_.size());
+    for (const auto& [id, session] : sessions_) all.push_back(session);
+    const auto at = steady_clock::now();
+    for (const auto& session : all) session->sweep(at);
+  }
+}
+
+// ---- Engines ----
+
+asio::awaitable<void> Manager::cancel_on(tcp::endpoint at, pg::CancelKey key) {
+  const auto cancel = [&]() -> asio::awaitable<void> {
+    error_code error;
+    tcp::socket socket(io_);
+    co_await socket.async_connect(at, asio::redirect_error(asio::use_awaitable, error));
+    if (error) co_return;
+    std::string bytes;
+    pg::put_cancel(bytes, key);
+    co_await asio::async_write(socket, asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
+    char unused[16];
+    co_await socket.async_read_some(asio::buffer(unused), asio::redirect_error(asio::use_awaitable, error));
+  };
+  error_code ignored;
+  asio::steady_timer limit(io_, side_connection_time);
+  co_await (cancel() || limit.async_wait(asio::redirect_error(asio::use_awaitable, ignored)));
+}
+
+asio::awaitable<void> Manager::change_terms(tcp::endpoint at, std::string statement) {
+  const auto change = [&]() -> asio::awaitable<void> {
+    error_code error;
+    tcp::socket socket(io_);
+    co_await socket.async_connect(at, asio::redirect_error(asio::use_awaitable, error));
+    pg::EngineLink link;
+    std::string out = link.start(engine_login());
+    std::vector<pg::LinkEvent> events;
+    std::vector<char> buffer(4096);
+    while (!error) {
+      co_await asio::async_write(socket, asio::buffer(out), asio::redirect_error(asio::use_awaitable, error));
+      if (error) co_return;
+      out.clear();
+      const std::size_t got = co_await socket.async_read_some(
+          asio::buffer(buffer), asio::redirect_error(asio::use_awaitable, error));
+      if (error) co_return;
+      events.clear();
+      link.feed({buffer.data(), got}, events, out);
+      for (const pg::LinkEvent& event : events) {
+        if (!std::holds_alternative<pg::LinkReady>(event)) co_return;
+        pg::EngineQuery query;
+        pg::put_query(query.bytes, statement);
+        out += link.flight(query, 3, 0);
+      }
+    }
+  };
+  error_code ignored;
+  asio::steady_timer limit(io_, side_connection_time);
+  co_await (change() || limit.async_wait(asio::redirect_error(asio::use_awaitable, ignored)));
+}
+
+void Manager::use_engines(const std::vector<config::ListedEngine>& engines) {
+  core::FleetTold told;
+  told.scope = FleetScope::full;
+  for (const config::ListedEngine& one : engines) {
+    error_code error;
+    const auto address = asio::ip::make_address(one.at.address, error);
+    if (error) {
+      log_.error("engines", "engine '" + one.at.name + "': address '" + one.at.address +
+                                "'; wanted: an IP address. It is left out");
+      continue;
+    }
+    EngineEntry entry = one.entry;
+    // Told as a time since 1970; on the loop's clock. What started before that clock did is long ago.
+    if (entry.started.count() > 0) entry.started = std::max(TimePoint{}, entry.started + since_1970_);
+    engines_[entry.engine] = {address, one.at.port};
+    told.engines.push_back(entry);
+  }
+  tell(std::move(told));
+}
+
+asio::awaitable<void> Manager::watch_engines() {
+  struct Stamp {
+    timespec changed{};
+    off_t size = -1;
+    ino_t inode = 0;
+    bool operator==(const Stamp& other) const {
+      return changed.tv_sec == other.changed.tv_sec && changed.tv_nsec == other.changed.tv_nsec &&
+             size == other.size && inode == other.inode;
+    }
+  };
+  Stamp last;
+  bool missing = false;
+  asio::steady_timer timer(io_);
+  for (;;) {
+    struct stat at {};
+    if (::stat(config_.engines_file.c_str(), &at) != 0) {
+      if (!missing) log_.warn("engines", config_.engines_file + ": can't be read; the last list stays");
+      missing = true;
+    } else if (const Stamp stamp{at.st_mtim, at.st_size, at.st_ino}; !(stamp == last) || missing) {
+      last = stamp;
+      missing = false;
+      auto read = config::read_engine_list(config_.engines_file, config_);
+      if (const auto* fault = std::get_if<config::Fault>(&read)) {
+        log_.warn("engines", fault->text() + "; the last list stays");
+      } else {
+        const auto& engines = std::get<std::vector<config::ListedEngine>>(read);
+        log_.info("engines", "list of " + std::to_string(engines.size()) + " engines read");
+        use_engines(engines);
+      }
+    }
+    timer.expires_after(config_.engines_poll);
+    error_code error;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
+    if (error || stopped_) co_return;
+  }
+}
+
+// ---- Signals ----
+
+asio::awaitable<void> Manager::signals() {
+  for (;;) {
+    error_code error;
+    const int signal = co_await signals_.async_wait(asio::redirect_error(asio::use_awaitable, error));
+    if (error) co_return;
+    if (signal == SIGHUP) {
+      reload();
+    } else {
+      leave();
+    }
+  }
+}
+
+void Manager::reload() {
+  auto read = config::read_manager_config(config_path_);
+  if (const auto* fault = std::get_if<config::Fault>(&read))
+    return log_.error("reload", fault->text() + "; nothing is changed");
+  auto& fresh = std::get<config::ManagerConfig>(read);
+  if (const std::string what = config::not_reloadable(config_, fresh); !what.empty())
+    return log_.error("reload", "can't be changed while the manager runs: " + what + "; nothing is changed");
+  core::Classifier classifier(fresh.classifier, fresh.core.module);
+  classifier_ = std::move(classifier);
+  config_.classifier = fresh.classifier;
+  config_.engines = fresh.engines;
+  config_.log.level = fresh.log.level;
+  log_.set_level(fresh.log.level);
+  if (config_.engines_file.empty()) use_engines(config_.engines);
+  log_.info("reload", "engines, rules and log level are as in " + config_path_);
+}
+
+void Manager::leave() {
+  if (leaving_) return stop();  // asked twice: at once
+  leaving_ = true;
+  error_code ignored;
+  acceptor_.close(ignored);
+  log_.info("leave", "answering what is held");
+  tell(core::Leave{config_.leave_grace});
+  // Attempts that an engine neither ends nor stops are not waited for beyond this.
+  auto timer = std::make_shared<asio::steady_timer>(
+      io_, config_.leave_grace + config_.core.cancel_grace + std::chrono::seconds(1));
+  timer->async_wait([this, timer](const error_code&) { stop(); });
+}
+
+}  // namespace paddlestand::service
--- /dev/null
+++ b/src/service/manager.hpp
@@ -0,0 +1,131 @@
+// The workload manager as a service: one thread, one loop. It owns the sockets and the clock, tells the core
+// what happens and carries out what the core says. Nothing here decides what becomes of a query.
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "config/manager_config.hpp"
+#include "core/classify.hpp"
+#include "core/conductor.hpp"
+#include "observe/log.hpp"
+#include "protocol/pg/front.hpp"
+
+namespace paddlestand::service {
+
+class Session;
+class Link;
+
+class Manager {
+ public:
+  using tcp = boost::asio::ip::tcp;
+
+  // `config_path` is read again at a reload.
+  Manager(boost::asio::io_context& io, config::ManagerConfig config, std::string config_path, pg::Users users,
+          std::string engine_password);
+  ~Manager();
+  Manager(const Manager&) = delete;
+  Manager& operator=(const Manager&) = delete;
+
+  // Listens, and begins. Throws boost::system::system_error where the address can't be had.
+  void start();
+  [[nodiscard]] std::uint16_t port() const { return port_; }
+
+  void reload();
+  void leave();
+
+  // ---- For sessions and links ----
+
+  // Takes an event now, or right after the one that is being taken.
+  void tell(core::CoreEvent event);
+  // As above, with what the engine said at the end of an answer, for the session that gets it.
+  void tell_end(const core::AnswerEnd& event, const pg::LinkAnswerEnd& end);
+  void ask(const std::shared_ptr<Session>& session, const pg::FrontRequest& request);
+  void cancel_session(pg::CancelKey key);
+  void session_gone(core::SessionId id);
+
+  [[nodiscard]] observe::Log& log() { return log_; }
+  [[nodiscard]] const config::ManagerConfig& config() const { return config_; }
+  [[nodiscard]] const pg::FrontSettings& front_settings() const { return front_settings_; }
+  [[nodiscard]] std::shared_ptr<const pg::Users> users() const { return users_; }
+  [[nodiscard]] boost::asio::io_context& io() { return io_; }
+  // One buffer for all reads: nothing keeps a view into it over a suspension.
+  [[nodiscard]] std::span<char> scratch() { return scratch_; }
+  [[nodiscard]] pg::EngineLogin engine_login() const;
+  [[nodiscard]] std::string nonce();
+
+ private:
+  friend class Link;
+
+  void carry_out(const core::OpenLink& effect);
+  void carry_out(const core::SendQuery& effect);
+  void carry_out(const core::SendProbe& effect);
+  void carry_out(const core::CancelOnEngine& effect);
+  void carry_out(const core::ChangeTerms& effect);
+  void carry_out(const core::CloseLink& effect);
+  void carry_out(const core::Deliver& effect);
+  void carry_out(const core::Discard& effect);
+  void carry_out(const core::PauseLink& effect);
+  void carry_out(const core::ResumeLink& effect);
+  void carry_out(const core::Answer& effect);
+  void carry_out(const core::Remark& effect);
+  void carry_out(const core::Left& effect);
+
+  void drain();
+  void arm();
+  void stop();
+  boost::asio::awaitable<void> accept();
+  boost::asio::awaitable<void> watch_engines();
+  boost::asio::awaitable<void> sweep();
+  boost::asio::awaitable<void> signals();
+  boost::asio::awaitable<void> say_full(tcp::socket socket);
+  boost::asio::awaitable<void> cancel_on(tcp::endpoint at, pg::CancelKey key);
+  boost::asio::awaitable<void> change_terms(tcp::endpoint at, std::string statement);
+  void use_engines(const std::vector<config::ListedEngine>& engines);
+  std::shared_ptr<Link> find_link(core::LinkId id) const;
+  std::shared_ptr<Session> find_session(core::SessionId id) const;
+
+  boost::asio::io_context& io_;
+  config::ManagerConfig config_;
+  std::string config_path_;
+  std::shared_ptr<const pg::Users> users_;
+  std::string engine_password_;
+  observe::Log log_;
+  core::Classifier classifier_;
+  pg::FrontSettings front_settings_;
+  core::Conductor conductor_;
+
+  tcp::acceptor acceptor_;
+  std::uint16_t port_ = 0;
+  boost::asio::signal_set signals_;
+  boost::asio::steady_timer timer_;
+  std::optional<TimePoint> armed_;
+  Duration since_1970_{};  // 1970 on the loop's clock
+
+  std::unordered_map<core::SessionId, std::shared_ptr<Session>> sessions_;
+  std::unordered_map<core::QueryId, core::SessionId> queries_;
+  std::unordered_map<core::LinkId, std::shared_ptr<Link>> links_;
+  std::unordered_map<EngineId, tcp::endpoint> engines_;
+  core::SessionId last_session_ = 0;
+  core::QueryId last_query_ = 0;
+
+  struct Told {
+    core::CoreEvent event;
+    std::optional<pg::LinkAnswerEnd> end;
+  };
+  std::deque<Told> told_;
+  bool draining_ = false, stopped_ = false, leaving_ = false;
+  const pg::LinkAnswerEnd* current_end_ = nullptr;
+  std::vector<core::Effect> effects_;
+  std::vector<char> scratch_;
+};
+
+}  // namespace paddlestand::service
--- a/tests/core/core_desk.hpp
+++ b/tests/core/core_desk.hpp
@@ -117,7 +117,7 @@
   [[nodiscard]] bool was_sent(QueryId id) const { return sent_.contains(id); }
 
   void finish(LinkId link, Ending ending = Ending::complete, std::size_t bytes = 10) {
-    handle(AnswerEnd{link, ending, bytes, 10ms, 1.0, {}});
+    handle(AnswerEnd{link, ending, bytes, true, 10ms, 1.0, {}});
   }
 
   template <typename T>
