--- a/apps/commands.hpp
+++ b/apps/commands.hpp
@@ -10,4 +10,6 @@
 inline constexpr int exit_bad_input = 2;
 inline constexpr int exit_bad_usage = 3;
 
+void add_day(CLI::App& app, int& result);
+
 }  // namespace paddlestand::app
--- a/apps/paddlestand.cpp
+++ b/apps/paddlestand.cpp
@@ -128,6 +128,7 @@
   verifier->add_option("user", user, "The user's name")->required();
   verifier->callback([&] { result = app::make_verifier(user); });
 
+  app::add_day(app, result);
   app.add_subcommand("version", "Print the version")->callback([] { std::cout << "paddlestand 0.2.0\n"; });
 
   try {
--- a/src/service/manager.cpp
+++ b/src/service/manager.cpp
@@ -453,6 +453,9 @@
   error_code ignored;
   acceptor_.close(ignored);
   log_.info("leave", "answering what is held");
+  std::vector<std::shared_ptr<Session>> all;
+  for (const auto& [id, session] : sessions_) all.push_back(session);
+  for (const auto& session : all) session->leave();
   tell(core::Leave{config_.leave_grace});
   // Attempts that an engine neither ends nor stops are not waited for beyond this.
   auto timer = std::make_shared<asio::steady_timer>(
--- a/src/service/manager.hpp
+++ b/src/service/manager.hpp
@@ -39,6 +39,8 @@
   void start();
   [[nodiscard]] std::uint16_t port() const { return port_; }
 
+  [[nodiscard]] core::Counts counts() const { return conductor_.counts(); }
+
   void reload();
   void leave();
 
--- a/src/service/session.cpp
+++ b/src/service/session.cpp
@@ -135,6 +135,18 @@
   if (pumping_) return;  // the loop in pump() goes on
   flush();
   pump();
+  if (leaving_) leave();
+}
+
+void Session::leave() {
+  leaving_ = true;
+  if (closed_ || ending_ || front_.busy()) return;
+  auto fields = pg::error("57P01", "the workload manager is leaving", "repeat=harmless");
+  fields.severity = "FATAL";
+  pg::put_error(out_, fields);
+  ending_ = true;
+  wake_.cancel();
+  flush();
 }
 
 void Session::refuse(const pg::Fields& error) {
--- a/src/service/session.hpp
+++ b/src/service/session.hpp
@@ -24,6 +24,9 @@
   // The request is over.
   void answered(const core::Answer& answer, const pg::LinkAnswerEnd* end);
 
+  // The manager goes: says goodbye now, or as soon as the request under way is over.
+  void leave();
+
   // The request never came to the core: the client got it wrong.
   void refuse(const pg::Fields& error);
 
@@ -54,7 +57,7 @@
   std::size_t written_ = 0;  // of writing_
   std::size_t untaken_ = 0;  // delivered bytes that are still to be written
   bool pumping_ = false, writes_ = false, closed_ = false, ending_ = false, mid_message_ = false,
-       opened_ = false;
+       opened_ = false, leaving_ = false;
   std::chrono::steady_clock::time_point since_, progress_;
   boost::asio::steady_timer wake_;  // the reader, when it rests
 };
--- a/standin/server.cpp
+++ b/standin/server.cpp
@@ -78,6 +78,7 @@
  public:
   Seat(Server& server, tcp::socket socket, std::uint32_t process, std::uint32_t secret)
       : server_(server),
+        server_alive_(server.alive_),
         socket_(std::move(socket)),
         key_{process, secret},
         frames_(most_message),
@@ -114,8 +115,8 @@
   }
 
   void cancel() {
+    if (busy_) server_.truth("cancelled", id_);
     if (job_ == 0) return;
-    server_.truth("cancelled", id_);
     server_.model_.cancel(server_.now(), job_);
     server_.jobs_.erase(job_);
     job_ = 0;
@@ -158,6 +159,7 @@
   }
 
   void cut(bool reset) {
+    if (busy_) server_.truth("link_closed", id_);
     error_code ignored;
     if (reset) socket_.set_option(asio::socket_base::linger(true, 0), ignored);
     socket_.close(ignored);
@@ -407,8 +409,8 @@
   }
 
   void closed() {
+    if (busy_) server_.truth("link_closed", id_);
     if (job_ != 0) {
-      server_.truth("link_closed", id_);
       server_.model_.cancel(server_.now(), job_);
       server_.jobs_.erase(job_);
       job_ = 0;
@@ -418,11 +420,13 @@
   }
 
   void forget() {
+    if (!*server_alive_) return;
     server_.seats_.erase(key_.process);
     if (job_ != 0) server_.jobs_.erase(job_);
   }
 
   Server& server_;
+  std::shared_ptr<bool> server_alive_;
   tcp::socket socket_;
   pg::CancelKey key_;
   pg::FrameReader frames_;
@@ -449,6 +453,7 @@
 }
 
 Server::~Server() {
+  *alive_ = false;
   if (log_ != nullptr) std::fclose(log_);
 }
 
--- a/standin/server.hpp
+++ b/standin/server.hpp
@@ -88,6 +88,7 @@
   std::mt19937_64 random_;
   std::FILE* log_ = nullptr;
   double told_load_ = 0, told_at_ = -1e9;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // seats may outlive it, in the loop
 };
 
 // The clock of all logs on one machine: nanoseconds.
