--- a/src/core/conductor.cpp
+++ b/src/core/conductor.cpp
@@ -180,7 +180,13 @@
   answer(*query, AnswerKind::failed, Repeatable::unknown);
 }
 
-void Conductor::apply(const SetTimer& action) { module_timers_.emplace(now_ + action.after, action.token); }
+// The module asks for a timer with each query and counts in clock steps: due times go up to the next whole
+// one, so that those of a step are one, and the table holds no more than the longest patience has steps.
+void Conductor::apply(const SetTimer& action) {
+  const Duration step = std::max(s_.module.clock_step, Duration{1});
+  const auto steps = (now_ + action.after + step - Duration{1}) / step;
+  module_timers_.emplace(steps * step, action.token);
+}
 
 void Conductor::apply(const Probe& action) {
   if (!pools_[action.engine].ready()) {
--- /dev/null
+++ b/tests/config/config_test.cpp
@@ -0,0 +1,142 @@
+#include <gtest/gtest.h>
+
+#include <fstream>
+
+#include "config/manager_config.hpp"
+#include "core/classify.hpp"
+
+namespace paddlestand::config {
+namespace {
+
+using namespace std::chrono_literals;
+
+std::string manager(const std::string& replaced = "", const std::string& with = "") {
+  std::string text = R"(<manager xmlns="urn:paddlestand:manager:1" name="m">
+<listen port="6432"/>
+<zones names="north south" own="north"/>
+<kinds><kind name="std" cores="8" memory-mb="16384"/></kinds>
+<classes otherwise="lookup">
+<class name="lookup" aim="1s" deadline="5s" repeat="safe"/>
+<class name="load" aim="1s" deadline="5s" repeat="keyed" key-window="25s" zones="south"/>
+</classes>
+<rules><rule statement="^insert" class="load"/></rules>
+<decisions budget-floor="5" budget-share="0.1" budget-window="5s"/>
+<engines><engine id="1" name="e1" address="127.0.0.1" port="7001" kind="std"/></engines>
+</manager>)";
+  if (const auto at = text.find(replaced); !replaced.empty() && at != text.npos)
+    text.replace(at, replaced.size(), with);
+  return text;
+}
+
+std::string fault_of(const std::string& text) {
+  const auto read = parse_manager_config(text, "m.xml");
+  const auto* fault = std::get_if<Fault>(&read);
+  return fault == nullptr ? std::string{} : fault->text();
+}
+
+TEST(Config, IsReadWithDefaultsFilledIn) {
+  const auto read = parse_manager_config(manager(), "m.xml");
+  ASSERT_TRUE(std::holds_alternative<ManagerConfig>(read)) << std::get<Fault>(read).text();
+  const auto& config = std::get<ManagerConfig>(read);
+  EXPECT_EQ(config.core.module.classes[1].key_window, 25s);
+  EXPECT_EQ(config.core.module.classes[1].allowed_zones->at(0), 1U);
+  EXPECT_EQ(config.core.module.most_attempts, 3U);
+  EXPECT_EQ(config.core.module.attempt_budget->window, 5s);
+  EXPECT_EQ(config.core.answer_buffer, 64U * 1024);
+  EXPECT_EQ(config.listen.address, "127.0.0.1");
+  EXPECT_EQ(config.engines.at(0).at.port, 7001);
+}
+
+TEST(Config, EachFaultIsToldWithItsLineAndWhatWasWanted) {
+  const std::vector<std::tuple<const char*, const char*, const char*, const char*>> cases{
+      {"aim=\"1s\" deadline=\"5s\" repeat=\"safe\"", "aim=\"1\" deadline=\"5s\"", "m.xml:6:", "aim"},
+      {"</manager>", "", "m.xml:", ""},
+      {"<listen port=\"6432\"/>", "<listen port=\"99999\"/>", "m.xml:2:", "99999"},
+      {"<listen port=\"6432\"/>", "<listen port=\"1\" address=\"0.0.0.0\"/>", "m.xml:2:", "scram"},
+      {"<listen port=\"6432\"/>", "<listen port=\"1\" authentication=\"scram\"/>", "m.xml:2:", "users file"},
+      {"otherwise=\"lookup\"", "otherwise=\"nope\"", "m.xml:", "lookup, load"},
+      {"zones=\"south\"", "zones=\"east\"", "m.xml:7:", "north, south"},
+      {"class=\"load\"/>", "class=\"nope\"/>", "m.xml:9:", "lookup, load"},
+      {"statement=\"^insert\"", "statement=\"(\"", "m.xml:9:", "regular expression"},
+      {"kind=\"std\"", "kind=\"big\"", "m.xml:11:", "wanted one of: std"},
+      {"key-window=\"25s\"", "", "m.xml:7:", "key-window"},
+      {"deadline=\"5s\" repeat=\"keyed\"", "deadline=\"1ms\" repeat=\"keyed\"",
+       "m.xml:7:", "aim <= deadline"},
+      {"budget-share=\"0.1\"", "", "m.xml:10:", "together"},
+      {"port=\"7001\" kind=\"std\"/>",
+       "port=\"7001\" kind=\"std\"/><engine id=\"1\" name=\"e2\" address=\"a\" port=\"1\" kind=\"std\"/>",
+       "m.xml:11:", "one-id-each"},
+      {"name=\"m\"", "name=\"m\" colour=\"red\"", "m.xml:1:", "colour"},
+  };
+  for (const auto& [was, is, where, what] : cases) {
+    const std::string fault = fault_of(manager(was, is));
+    EXPECT_NE(fault.find(where), std::string::npos) << was << " -> " << is << ": " << fault;
+    EXPECT_NE(fault.find(what), std::string::npos) << was << " -> " << is << ": " << fault;
+  }
+}
+
+TEST(Config, EntitiesAndOtherFilesAreNotFollowed) {
+  const std::string text =
+      "<!DOCTYPE x [<!ENTITY e SYSTEM \"file:///etc/hostname\">]>" + manager("name=\"m\"", "name=\"&e;\"");
+  EXPECT_FALSE(fault_of(text).empty());
+}
+
+TEST(Config, EnginesFileIsCheckedByTheSameSchema) {
+  const auto config = std::get<ManagerConfig>(parse_manager_config(manager(), "m.xml"));
+  const std::string path = ::testing::TempDir() + "engines-" + std::to_string(getpid()) + ".xml";
+  const auto read = [&](const std::string& text) {
+    std::ofstream(path) << text;
+    return read_engine_list(path, config);
+  };
+  const std::string one =
+      R"(<engines xmlns="urn:paddlestand:manager:1"><engine id="7" name="a" address="::1" port="1" kind="std" zone="south" state="draining" started="1700000000.5"/></engines>)";
+  const auto good = read(one);
+  ASSERT_TRUE(std::holds_alternative<std::vector<ListedEngine>>(good));
+  const auto& engine = std::get<std::vector<ListedEngine>>(good).at(0);
+  EXPECT_EQ(engine.entry.state, EngineState::draining);
+  EXPECT_EQ(engine.entry.zone, 1U);
+  EXPECT_EQ(engine.entry.started, 1700000000500ms);
+  EXPECT_TRUE(std::holds_alternative<Fault>(read(one.substr(0, one.size() / 2))));
+  EXPECT_TRUE(std::holds_alternative<Fault>(read("")));
+  EXPECT_TRUE(std::holds_alternative<Fault>(read_engine_list("/nonexistent/x.xml", config)));
+  unlink(path.c_str());
+}
+
+TEST(Config, WhatCannotBeReloadedIsNamed) {
+  const auto a = std::get<ManagerConfig>(parse_manager_config(manager(), "m.xml"));
+  const auto same = std::get<ManagerConfig>(parse_manager_config(manager("^insert", "^update"), "m.xml"));
+  EXPECT_EQ(not_reloadable(a, same), "");
+  const auto port = std::get<ManagerConfig>(parse_manager_config(manager("6432", "6433"), "m.xml"));
+  EXPECT_EQ(not_reloadable(a, port), "listen");
+  const auto aim =
+      std::get<ManagerConfig>(parse_manager_config(manager("aim=\"1s\"", "aim=\"2s\""), "m.xml"));
+  EXPECT_EQ(not_reloadable(a, aim), "class 'lookup'");
+}
+
+TEST(Classifier, TagsFirstThenRulesThenTheRest) {
+  auto config = std::get<ManagerConfig>(parse_manager_config(manager(), "m.xml"));
+  const core::Classifier classifier(config.classifier, config.core.module);
+  ASSERT_EQ(classifier.problem(), "");
+  const auto classify = [&](const char* statement, std::vector<std::pair<std::string, std::string>> tags = {},
+                            std::optional<Duration> time_out = {}) {
+    core::RequestFacts facts;
+    facts.statement = statement;
+    facts.tags = std::move(tags);
+    facts.time_out = time_out;
+    return classifier.classify(facts);
+  };
+  EXPECT_EQ(std::get<core::QueryArrived>(classify("INSERT into t")).class_index, 1U);
+  EXPECT_EQ(std::get<core::QueryArrived>(classify("insert", {{"class", "lookup"}})).class_index, 0U);
+  EXPECT_EQ(std::get<core::QueryArrived>(classify("select")).patience, 5s);
+  EXPECT_EQ(std::get<core::QueryArrived>(classify("select", {}, 700ms)).patience, 700ms);
+  EXPECT_EQ(std::get<core::QueryArrived>(classify("select", {{"deadline_ms", "90"}}, 700ms)).patience, 90ms);
+  const auto full = std::get<core::QueryArrived>(
+      classify("select", {{"cost_ms", "12.5"}, {"key", "a"}, {"memory_mb", "3"}, {"repeat", "1"}}));
+  EXPECT_EQ(full.told_cost, 12500us);
+  EXPECT_EQ(full.order_key, core::key_of("a"));
+  EXPECT_TRUE(full.repeated);
+  EXPECT_TRUE(std::holds_alternative<core::Problem>(classify("select", {{"class", "x"}})));
+}
+
+}  // namespace
+}  // namespace paddlestand::config
