--- a/src/protocol/pg/front.cpp
+++ b/src/protocol/pg/front.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 
 #include "bytes.hpp"
-#include "protocol/sql/scan.hpp"
 #include "sqlstate.hpp"
 #include "statements.hpp"
 
@@ -280,7 +279,7 @@
   return std::nullopt;
 }
 
-FrontEvent Front::hand_over(EngineQuery query, std::string text) {
+FrontEvent Front::hand_over(EngineQuery query, std::string text, const sql::Scanned& scanned) {
   busy_ = true;
   FrontRequest request;
   for (const auto& [name, value] : set_) {
@@ -288,6 +287,10 @@
     if (parameter != nullptr && parameter->carried && value != parameter->usual) query.settings[name] = value;
   }
   request.query = std::move(query);
+  for (const std::string_view comment : scanned.comments) {
+    auto tags = sql::read_tags(comment);
+    std::move(tags.begin(), tags.end(), std::back_inserter(request.tags));
+  }
   request.text = std::move(text);
   if (const auto found = set_.find("statement_timeout"); found != set_.end()) {
     const auto ms = read_milliseconds(found->second);
@@ -330,7 +333,7 @@
   EngineQuery query;
   put_query(query.bytes, text);
   extended_ = flushed_ = false;
-  return hand_over(std::move(query), std::string(text));
+  return hand_over(std::move(query), std::string(text), scanned);
 }
 
 const Front::Prepared* Front::find(const std::string& statement) const {
@@ -513,7 +516,8 @@
   under_way_ = std::move(batch.parsed);
   extended_ = true;
   flushed_ = !sync;
-  return hand_over(std::move(batch.query), std::move(batch.text));
+  const sql::Scanned scanned = sql::scan(batch.text);
+  return hand_over(std::move(batch.query), batch.text, scanned);
 }
 
 void Front::adopt_one(const std::string& name, Prepared prepared) {
--- a/src/protocol/pg/front.hpp
+++ b/src/protocol/pg/front.hpp
@@ -17,6 +17,8 @@
 #include "engine_link.hpp"
 #include "frame.hpp"
 #include "messages.hpp"
+#include "protocol/sql/scan.hpp"
+#include "protocol/sql/tags.hpp"
 #include "scram.hpp"
 
 namespace paddlestand::pg {
@@ -44,6 +46,7 @@
 struct FrontRequest {
   EngineQuery query;
   std::string text;  // the statement by which it is classed: the first one of a batch
+  sql::Tags tags;  // of its comments
   std::optional<Duration> statement_timeout;
 };
 struct FrontEnd {};  // the client said goodbye, or must be closed: out() holds the last words
@@ -114,7 +117,7 @@
   std::optional<Fields> set(const std::string& name, const std::string& value, std::string& out);
   [[nodiscard]] std::string shown(const std::string& name) const;
   bool needs_engine();
-  FrontEvent hand_over(EngineQuery query, std::string text);
+  FrontEvent hand_over(EngineQuery query, std::string text, const sql::Scanned& scanned);
   void adopt(std::uint32_t count);
   void adopt_one(const std::string& name, Prepared prepared);
 
--- a/src/service/link.cpp
+++ b/src/service/link.cpp
@@ -59,7 +59,6 @@
   socket_.non_blocking(true, error);
   const std::string hello = protocol_.start(manager_.engine_login());
   co_await asio::async_write(socket_, asio::buffer(hello), asio::redirect_error(asio::use_awaitable, error));
-  std::vector<pg::LinkEvent> events;
   while (!closed_) {
     if (paused_) {
       co_await wake_.async_wait(asio::redirect_error(asio::use_awaitable, error));
@@ -67,20 +66,20 @@
       continue;
     }
     error.clear();
-    co_await socket_.async_wait(tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
+    std::size_t got = co_await socket_.async_read_some(asio::buffer(first_),
+                                                       asio::redirect_error(asio::use_awaitable, error));
     if (closed_) co_return;
-    if (paused_) continue;
-    std::size_t got = 0;
-    if (!error)
-      got = socket_.read_some(asio::buffer(manager_.scratch().data(), manager_.scratch().size()), error);
-    if (error == asio::error::would_block || error == asio::error::try_again) continue;
     if (error || got == 0) {
       lost(core::LinkLoss::closed);
       co_return;
     }
-    events.clear();
     std::string reply;
-    protocol_.feed({manager_.scratch().data(), got}, events, reply);
+    std::vector<pg::LinkEvent> events;
+    protocol_.feed({first_.data(), got}, events, reply);
+    if (got == first_.size()) {  // what is larger goes on in the buffer that all share
+      got = socket_.read_some(asio::buffer(manager_.scratch().data(), manager_.scratch().size()), error);
+      if (!error) protocol_.feed({manager_.scratch().data(), got}, events, reply);
+    }
     on_events(events);
     if (closed_) co_return;
     if (!reply.empty())
--- a/src/service/link.hpp
+++ b/src/service/link.hpp
@@ -1,6 +1,7 @@
 // A connection to an engine: connect, startup, one query after another.
 #pragma once
 
+#include <array>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -38,6 +39,7 @@
   tcp::endpoint at_;
   tcp::socket socket_;
   pg::EngineLink protocol_;
+  std::array<char, 2048> first_;
   std::string writing_;
   std::size_t written_ = 0;
   std::size_t told_ = 0;  // bytes of the kept answer that the core knows of
--- a/src/service/manager.cpp
+++ b/src/service/manager.cpp
@@ -14,8 +14,6 @@
 
 #include "link.hpp"
 #include "protocol/pg/sqlstate.hpp"
-#include "protocol/sql/scan.hpp"
-#include "protocol/sql/tags.hpp"
 #include "session.hpp"
 
 namespace paddlestand::service {
@@ -260,17 +258,14 @@
 
 void Manager::session_gone(core::SessionId id) { sessions_.erase(id); }
 
-void Manager::ask(const std::shared_ptr<Session>& session, const pg::FrontRequest& request) {
+void Manager::ask(const std::shared_ptr<Session>& session, pg::FrontRequest request) {
   core::RequestFacts facts;
   facts.user = session->front().user();
   facts.database = session->front().database();
   facts.application = session->front().application();
   facts.statement = request.text;
   facts.time_out = request.statement_timeout;
-  for (const std::string_view comment : sql::scan(request.text).comments) {
-    const auto tags = sql::read_tags(comment);
-    facts.tags.insert(facts.tags.end(), tags.begin(), tags.end());
-  }
+  facts.tags = std::move(request.tags);
   auto classed = classifier_.classify(facts);
   if (const auto* problem = std::get_if<core::Problem>(&classed)) {
     session->refuse(pg::error("22023", problem->text));
@@ -279,7 +274,7 @@
   auto& arrived = std::get<core::QueryArrived>(classed);
   arrived.session = session->id();
   arrived.query = ++last_query_;
-  session->request_ = request.query;
+  session->request_ = std::move(request.query);
   queries_.emplace(arrived.query, session->id());
   tell(arrived);
 }
--- a/src/service/manager.hpp
+++ b/src/service/manager.hpp
@@ -50,7 +50,7 @@
   void tell(core::CoreEvent event);
   // As above, with what the engine said at the end of an answer, for the session that gets it.
   void tell_end(const core::AnswerEnd& event, const pg::LinkAnswerEnd& end);
-  void ask(const std::shared_ptr<Session>& session, const pg::FrontRequest& request);
+  void ask(const std::shared_ptr<Session>& session, pg::FrontRequest request);
   void cancel_session(pg::CancelKey key);
   void session_gone(core::SessionId id);
 
--- a/src/service/session.cpp
+++ b/src/service/session.cpp
@@ -60,20 +60,23 @@
       if (ending_) co_return;
       continue;
     }
+    // Most requests fit the session's own few bytes; a larger one goes on in the buffer that all share.
     error_code error;
-    co_await socket_.async_wait(tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
+    const std::size_t got = co_await socket_.async_read_some(
+        asio::buffer(first_), asio::redirect_error(asio::use_awaitable, error));
     if (closed_) co_return;
-    std::size_t got = 0;
-    if (!error)
-      got = socket_.read_some(asio::buffer(manager_.scratch().data(), manager_.scratch().size()), error);
-    if (error == asio::error::would_block || error == asio::error::try_again) continue;
     if (error || got == 0) {
       // A client may shut down its sending side and still wait for its answers: PostgreSQL's clients don't,
       // and a query nobody waits for must not hold an engine.
       close();
       co_return;
     }
-    front_.feed({manager_.scratch().data(), got});
+    front_.feed({first_.data(), got});
+    if (got == first_.size()) {
+      const std::size_t more =
+          socket_.read_some(asio::buffer(manager_.scratch().data(), manager_.scratch().size()), error);
+      if (!error) front_.feed({manager_.scratch().data(), more});
+    }
     pump();
   }
 }
@@ -83,7 +86,7 @@
   if (pumping_) return;  // an answer came at once, while a request was handed over: the loop below goes on
   pumping_ = true;
   while (!closed_ && !ending_) {
-    const auto event = front_.next();
+    auto event = front_.next();
     out_ += front_.out();
     front_.out().clear();
     if (!event) break;
@@ -93,8 +96,8 @@
     } else if (const auto* cancel = std::get_if<pg::FrontCancel>(&*event)) {
       manager_.cancel_session(cancel->key);
       ending_ = true;
-    } else if (const auto* request = std::get_if<pg::FrontRequest>(&*event)) {
-      manager_.ask(shared_from_this(), *request);
+    } else if (auto* request = std::get_if<pg::FrontRequest>(&*event)) {
+      manager_.ask(shared_from_this(), std::move(*request));
     } else {
       ending_ = true;
     }
--- a/src/service/session.hpp
+++ b/src/service/session.hpp
@@ -1,6 +1,7 @@
 // A client's connection: its bytes to the front, the front's and the engines' bytes to it.
 #pragma once
 
+#include <array>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -53,6 +54,7 @@
   core::SessionId id_;
   pg::CancelKey key_;
   pg::Front front_;
+  std::array<char, 1024> first_;
   std::string out_, writing_;
   std::size_t written_ = 0;  // of writing_
   std::size_t untaken_ = 0;  // delivered bytes that are still to be written
--- /dev/null
+++ b/tests/clients/pg.test.mjs
@@ -0,0 +1,98 @@
+// The driver `pg`, from npm, through a manager to a stand-in engine, both started here on ephemeral loopback ports.
+import assert from 'node:assert/strict';
+import { spawn } from 'node:child_process';
+import { existsSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { after, before, test } from 'node:test';
+import pg from 'pg';
+
+const programs = process.env.PADDLESTAND_PROGRAMS;
+const folder = mkdtempSync(join(tmpdir(), 'paddlestand-node-'));
+const children = [];
+let port;
+
+async function portFrom(file) {
+  for (let i = 0; i < 4000; ++i) {
+    if (existsSync(file)) return Number(readFileSync(file, 'utf8').split(' ')[0]);
+    await new Promise((done) => setTimeout(done, 5));
+  }
+  throw new Error(`${file} did not come`);
+}
+
+function start(program, ...args) {
+  children.push(spawn(join(programs, program), args, { stdio: 'ignore' }));
+}
+
+before(async () => {
+  start('paddlestand_standin', '--port-file', join(folder, 'engine'));
+  const engine = await portFrom(join(folder, 'engine'));
+  writeFileSync(
+    join(folder, 'manager.xml'),
+    `<manager xmlns="urn:paddlestand:manager:1" name="m"><listen port="0"/>
+     <kinds><kind name="std" cores="8" memory-mb="16384"/></kinds>
+     <classes otherwise="q"><class name="q" aim="5s" deadline="15s" late-worth="1" repeat="safe"/></classes>
+     <decisions/><engines><engine id="1" name="e" address="127.0.0.1" kind="std" port="${engine}"/></engines>
+     </manager>`,
+  );
+  start('paddlestand', 'serve', '--config', join(folder, 'manager.xml'), '--port-file', join(folder, 'port'));
+  port = await portFrom(join(folder, 'port'));
+});
+
+after(() => {
+  for (const child of children) child.kill();
+  rmSync(folder, { recursive: true });
+});
+
+async function connected(options = {}) {
+  const client = new pg.Client({ host: '127.0.0.1', port, user: 'ann', database: 'charts', ...options });
+  await client.connect();
+  return client;
+}
+
+test('asks, and reads rows', async () => {
+  const client = await connected({ statement_timeout: 10000, application_name: 'desk' });
+  const { rows } = await client.query("select 1 /*sim_rows='3'*/");
+  assert.equal(rows.length, 3);
+  assert.equal((await client.query('show statement_timeout')).rows[0].statement_timeout, '10000');
+  await client.end();
+});
+
+test('binds parameters, and prepares by name', async () => {
+  const client = await connected();
+  for (let i = 0; i < 3; ++i) {
+    const unnamed = await client.query("select $1 /*sim_rows='2'*/", ['x']);
+    assert.equal(unnamed.rows.length, 2);
+    const named = await client.query({ name: 'report', text: "select $1 /*sim_rows='4'*/", values: ['y'] });
+    assert.equal(named.rows.length, 4);
+  }
+  await client.end();
+});
+
+test('queries that are sent at once are answered in their order', async () => {
+  const client = await connected();
+  const answers = await Promise.all(
+    Array.from({ length: 40 }, (_, i) => client.query(`select $1 /*sim_rows='${1 + (i % 5)}'*/`, [i])),
+  );
+  assert.deepEqual(answers.map((a) => a.rows.length), Array.from({ length: 40 }, (_, i) => 1 + (i % 5)));
+  await client.end();
+});
+
+test('what is not carried is an error, and the session lives on', async () => {
+  const client = await connected();
+  await assert.rejects(client.query('begin'), { code: '0A000' });
+  await assert.rejects(client.query("select 1 /*class='nope'*/"), { code: '22023' });
+  assert.equal((await client.query('select 1')).rows.length, 1);
+  await client.end();
+});
+
+test('advice can be read from a refusal', async () => {
+  const client = await connected();
+  // It can't be done in its time, and is refused at once.
+  await assert.rejects(client.query("select 1 /*cost_ms='60000',deadline_ms='500'*/"), (error) => {
+    assert.equal(error.code, '53400');
+    assert.match(error.hint, /^retry_after_ms=\d+; repeat=harmless$/);
+    return true;
+  });
+  await client.end();
+});
