--- a/tests/service/hard_cases_test.cpp
+++ b/tests/service/hard_cases_test.cpp
@@ -1,6 +1,7 @@
 // The hard cases of the service, caused over real sockets. No time is asserted; whatever must not come is
 // given a moment to come.
 #include <sys/resource.h>
+#include <sys/stat.h>
 
 #include <fstream>
 #include <nlohmann/json.hpp>
@@ -33,14 +34,16 @@
 class Served : public Thread<Manager> {
  public:
   explicit Served(
-      const std::string& text, pg::Users users =
-                                   [] {
-                                     pg::Users u;
-                                     u.trust = true;
-                                     return u;
-                                   }())
+      const std::string& text,
+      pg::Users users =
+          [] {
+            pg::Users u;
+            u.trust = true;
+            return u;
+          }(),
+      const std::string& path = "test")
       : Thread([&](auto& io) {
-          auto read = config::parse_manager_config(text, "test");
+          auto read = config::parse_manager_config(text, path);
           if (const auto* fault = std::get_if<config::Fault>(&read)) throw std::runtime_error(fault->text());
           return std::make_unique<Manager>(io, std::get<config::ManagerConfig>(std::move(read)), "", users,
                                            "");
@@ -330,6 +333,56 @@
   EXPECT_EQ(busy.answer(), "E");
 }
 
+TEST(HardCase, TheListIsReadAgainABadOneChangesNothingAndADrainIsKept) {
+  const std::string folder = ::testing::TempDir() + "list-" + std::to_string(getpid()) + "/";
+  mkdir(folder.c_str(), 0700);
+  standin::StandinSettings s;
+  s.truth_log = folder + "truth.jsonl";
+  Engine first(s);
+  s.name = "second";
+  Engine second(s);
+  const auto put = [&](const std::string& text) {
+    std::ofstream(folder + "fresh") << text;
+    rename((folder + "fresh").c_str(), (folder + "engines.xml").c_str());
+  };
+  const auto one = [](int id, std::uint16_t port, const char* state) {
+    return "<engine id=\"" + std::to_string(id) + "\" name=\"e" + std::to_string(id) +
+           "\" address=\"127.0.0.1\" kind=\"std\" port=\"" + std::to_string(port) + "\" state=\"" + state +
+           "\"/>";
+  };
+  const std::string open = "<engines xmlns=\"urn:paddlestand:manager:1\">";
+  put(open + one(1, first->port(), "ready") + "</engines>");
+  auto text = settings({});
+  text.replace(text.find("<engines>"), 9, "<engines file=\"engines.xml\" poll=\"10ms\">");
+  pg::Users trust;
+  trust.trust = true;
+  Served manager(text, trust, folder + "manager.xml");
+  RawClient client(manager.port());
+  ASSERT_EQ(client.ask("select 1 /*cost_ms='1',sim_id='a'*/"), "TDCZ");
+  put(open + one(1, first->port(), "rea"));  // broken off
+  std::this_thread::sleep_for(60ms);
+  ASSERT_EQ(client.ask("select 1 /*cost_ms='1',sim_id='b'*/"), "TDCZ");
+  unlink((folder + "engines.xml").c_str());
+  std::this_thread::sleep_for(60ms);
+  ASSERT_EQ(client.ask("select 1 /*cost_ms='1',sim_id='c'*/"), "TDCZ");
+  // A query is held back by nothing but its engine's drain; then it goes to the other.
+  put(open + one(1, first->port(), "draining") + one(2, second->port(), "ready") + "</engines>");
+  ASSERT_TRUE(comes_true([&] { return manager.counts().links_idle == 0; }));  // its idle links were closed
+  for (int i = 0; i < 5; ++i) ASSERT_EQ(client.ask("select 1 /*cost_ms='1',sim_id='d'*/"), "TDCZ");
+  const auto after = truth(s.truth_log, "d");
+  EXPECT_EQ(count(after, "received"), 5U);
+  for (const auto& line : after) EXPECT_EQ(line["engine"], "second");
+  second.command("drain");
+  first.command("die-not");  // no such command: told, and nothing happens
+  EXPECT_EQ(client.ask("select 1 /*cost_ms='1',sim_id='e'*/"), "TDCZ");  // on the link that is open
+  // A reload: nothing of it is taken up where something in it can't be.
+  std::ofstream(folder + "manager.xml") << "<manager";
+  manager.run([](Manager& m) { return m.reload(), 0; });
+  EXPECT_EQ(client.ask("select 1 /*cost_ms='1'*/"), "TDCZ");
+  for (const char* file : {"engines.xml", "truth.jsonl", "manager.xml"}) unlink((folder + file).c_str());
+  rmdir(folder.c_str());
+}
+
 TEST(HardCase, DescriptorsAndMemoryStayLevel) {
   Engine engine;
   Served manager(settings({engine->port()}));
