--- a/audit/judge.hpp
+++ b/audit/judge.hpp
@@ -29,6 +29,7 @@
   std::map<std::string, ClassFigures> classes;
   std::map<std::string, std::string> zones;  // of engines
   double drain_grace_s = 0.25, list_poll_s = 0.05, slack_s = 0.1;
+  double seen_apart_s = 0.05;  // two processes see the ends of one connection so far apart
   double budget_floor = 0, budget_share = 0, budget_window_s = 0;  // window zero: no such rule
 };
 
--- a/lab/day/runner.cpp
+++ b/lab/day/runner.cpp
@@ -513,6 +513,7 @@
   out.drain_grace_s = seconds(day.drain_grace);
   out.list_poll_s = seconds(day.list_poll);
   out.slack_s = seconds(day.answer_slack);
+  out.seen_apart_s = seconds(day.seen_apart);
   out.budget_floor = day.budget.floor;
   out.budget_share = day.budget.share;
   out.budget_window_s = seconds(day.budget.window);
--- a/lab/day/scenario.cpp
+++ b/lab/day/scenario.cpp
@@ -50,6 +50,7 @@
   day.length = root.time("length");
   day.seed = root.integer("seed");
   day.answer_slack = root.time("answer-slack");
+  day.seen_apart = root.time("seen-apart");
   const config::Element engines = *root.child("engines");
   day.engines = engines.count("count");
   day.cores = engines.number("cores");
