An engine whose listen queue is full, caused in a test

Need: a connect that hangs must end as never sent, so that an unsafe query goes elsewhere. A listener without room is put beside a good stand-in: all six queries are served.

--- a/tests/service/hard_cases_test.cpp
+++ b/tests/service/hard_cases_test.cpp
@@ -232,6 +232,29 @@
   for (int i = 0; i < 12; ++i) ASSERT_EQ(client.ask("select 1 /*class='settle'*/"), "TDCZ") << client.code();
 }
 
+TEST(HardCase, AnEnginesListenQueueIsFull) {
+  // Nobody accepts, and the queue is full: connecting to it hangs.
+  const int listener = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in at{};
+  at.sin_family = AF_INET;
+  at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  ASSERT_EQ(::bind(listener, reinterpret_cast<sockaddr*>(&at), sizeof(at)), 0);
+  ASSERT_EQ(::listen(listener, 0), 0);
+  socklen_t size = sizeof(at);
+  getsockname(listener, reinterpret_cast<sockaddr*>(&at), &size);
+  std::vector<int> waiting;
+  for (int i = 0; i < 4; ++i) {
+    waiting.push_back(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+    ::connect(waiting.back(), reinterpret_cast<sockaddr*>(&at), sizeof(at));
+  }
+  Engine good;
+  Served manager(settings({ntohs(at.sin_port), good->port()}));
+  RawClient client(manager.port());
+  for (int i = 0; i < 6; ++i) ASSERT_EQ(client.ask("select 1 /*class='settle'*/"), "TDCZ") << client.code();
+  for (const int one : waiting) close(one);
+  close(listener);
+}
+
 TEST(HardCase, EngineIsFullAndSaysSo) {
   Engine full, good;
   full.command("full");
