Two expectations that could not fail: a probe's link is open until its time is up, then closed

Cause: a test of probes held for any number of links, and peeking at bytes of a slow reader proved nothing. The first now says when the probe's link closes and that no query goes over it; the second is gone.

--- a/tests/core/conductor_test.cpp
+++ b/tests/core/conductor_test.cpp
@@ -346,7 +346,8 @@
   }
   ASSERT_FALSE(desk.all<SendProbe>().empty());
   const LinkId probe = desk.all<SendProbe>().back().link;
-  EXPECT_TRUE(desk.did<CloseLink>(probe) || desk.counts().links > 0);
+  EXPECT_FALSE(desk.did<SendQuery>(probe));
+  EXPECT_FALSE(desk.did<CloseLink>(probe));
   desk.advance(400ms);
   EXPECT_TRUE(desk.did<CloseLink>(probe));
 }
--- a/tests/service/hard_cases_test.cpp
+++ b/tests/service/hard_cases_test.cpp
@@ -215,8 +215,6 @@
     ASSERT_EQ(quick.ask("select 1"), "TDCZ");
     EXPECT_LT(manager.counts().bytes_buffered, 1200U * 1024);
   }
-  char one = 0;  // a byte now and then changes nothing
-  for (int i = 0; i < 10; ++i) EXPECT_EQ(recv(slow.descriptor(), &one, 1, MSG_PEEK), 1);
   const std::string types = slow.answer();
   EXPECT_EQ(types.size(), 60003U);
   EXPECT_EQ(types.substr(types.size() - 2), "CZ");
