Connections beyond most-sessions are told so 64 at a time, others are closed at once

Cause: each was given a coroutine and a descriptor for up to 200 ms, without a bound, so that a flood of them took descriptors from sessions and engine links. Now 64 at once. The service's 19 and the clients' 4 tests pass.

--- a/src/service/manager.cpp
+++ b/src/service/manager.cpp
@@ -28,6 +28,7 @@
 constexpr std::size_t scratch_bytes = 256 * 1024;
 constexpr auto sweep_period = 1s;
 constexpr auto descriptor_rest = 100ms;  // after accept() found no descriptor free
+constexpr std::size_t most_turned_away = 64;  // connections at once that are told so
 constexpr auto side_connection_time = 1s;  // cancels and changes of terms
 
 TimePoint now() { return steady_clock::now().time_since_epoch(); }
@@ -228,7 +229,8 @@
     }
     told = false;
     if (sessions_.size() >= config_.listen.most_sessions) {
-      asio::co_spawn(io_, say_full(std::move(socket)), asio::detached);
+      // A flood of them is closed without a word, so that saying so takes no room of its own.
+      if (turned_away_ < most_turned_away) asio::co_spawn(io_, say_full(std::move(socket)), asio::detached);
       continue;
     }
     const core::SessionId id = ++last_session_;
@@ -240,6 +242,7 @@
 }
 
 asio::awaitable<void> Manager::say_full(tcp::socket socket) {
+  ++turned_away_;
   std::string bytes;
   auto fields = pg::error(
       "53300", "too many sessions; wanted: at most " + std::to_string(config_.listen.most_sessions));
@@ -254,6 +257,7 @@
   co_await (
       socket.async_read_some(asio::buffer(unused), asio::redirect_error(asio::use_awaitable, ignored)) ||
       rest.async_wait(asio::redirect_error(asio::use_awaitable, ignored)));
+  --turned_away_;
 }
 
 void Manager::session_gone(core::SessionId id) { sessions_.erase(id); }
--- a/src/service/manager.hpp
+++ b/src/service/manager.hpp
@@ -124,6 +124,7 @@
     std::optional<pg::LinkAnswerEnd> end;
   };
   std::deque<Told> told_;
+  std::size_t turned_away_ = 0;  // being told that there are too many sessions
   bool draining_ = false, stopped_ = false, leaving_ = false;
   const pg::LinkAnswerEnd* current_end_ = nullptr;
   std::vector<core::Effect> effects_;
