The desk: effects carried out one by one in the core, the last byte known before all else

Need: attempt states are to be explored in the code that ships, so the turn of an event (what is told, what is carried out, what waits) moves from the service into src/core/desk, without I/O. Writing that turn down showed three ways in which an attempt that may run passed for one that never did: QuerySent waited behind other events that were told in the same turn; a large query's last byte was handed over in the reactor before its completion was seen; and a SendQuery still to be carried out went out although the conductor had closed its link in the same turn. The desk now tells the first at once, the link writes the second in the turn that tells of it, and the conductor takes back the third. A link whose engine broke the protocol counts as reset, not as ended: the query may go on, and its key must rest. src/core/promises keeps its own account of events and effects and holds them against the promises; the service logs a breach. The module can be copied and walked over (StateVisitor); rests of keys are forgotten once over.

--- a/include/paddlestand/workload_manager.hpp
+++ b/include/paddlestand/workload_manager.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <random>
 #include <span>
 #include <string>
 #include <variant>
@@ -225,17 +226,43 @@
 using Action =
     std::variant<Send, Cancel, Refuse, Fail, SetTimer, Probe, SetTerms, SubscribeFleet, TellPeers, Log>;
 
+// Walks over a state, field by field, always in the same order: to digest it, to write it down, to read it
+// back. Times are seconds on the clock of what is walked over; `since` lies in the past, `until` matters only
+// while it lies ahead. A table's entries are each announced by entry(); where a state is read back, table()
+// tells how many to read.
+class StateVisitor {
+ public:
+  enum class Name : std::uint8_t { engine, request, session, link };
+
+  virtual ~StateVisitor() = default;
+  [[nodiscard]] virtual bool reads() const { return false; }
+  virtual void clock(double& now) = 0;
+  virtual void number(double& value) = 0;
+  virtual void whole(std::uint64_t& value) = 0;
+  virtual void since(double& time) = 0;
+  virtual void until(double& time) = 0;
+  virtual void name(Name kind, std::uint64_t& id) = 0;
+  virtual void generator(std::mt19937_64& state) = 0;
+  virtual std::size_t table(std::size_t entries, bool in_order) = 0;
+  virtual void entry() = 0;
+  virtual void end() = 0;
+};
+
 // One workload manager. It owns no clock, no thread and no I/O: the same events give the same actions.
 class WorkloadManager {
  public:
   explicit WorkloadManager(Settings settings);
   ~WorkloadManager();
+  WorkloadManager(const WorkloadManager& other);  // a second one that would do the same from here on
   WorkloadManager(WorkloadManager&&) noexcept;
   WorkloadManager& operator=(WorkloadManager&&) noexcept;
 
   // Takes one event and appends what follows from it to `actions`.
   void handle(TimePoint now, const Event& event, std::vector<Action>& actions);
 
+  // All that its future hangs on, but for its settings, as of its last event.
+  void visit(StateVisitor& visitor);
+
  private:
   class Impl;
   std::unique_ptr<Impl> impl_;
--- a/src/core/conductor.cpp
+++ b/src/core/conductor.cpp
@@ -2,9 +2,28 @@
 
 #include <algorithm>
 
+#include "seeded.hpp"
+#include "walk.hpp"
+
 namespace paddlestand::core {
 
-Conductor::Conductor(CoreSettings settings) : s_(std::move(settings)), module_(s_.module) {}
+namespace {
+
+CoreSettings as_used(CoreSettings settings) {
+  if (seeded(Defect::key_rest_forgotten)) settings.module.order_settle = {};
+  if (seeded(Defect::budget_off_by_one) && settings.module.attempt_budget)
+    settings.module.attempt_budget->floor += 1;
+  for (ClassSettings& k : settings.module.classes) {
+    if (seeded(Defect::placement_lost)) k.allowed_zones.reset();
+  }
+  return settings;
+}
+
+}  // namespace
+
+Conductor::Conductor(CoreSettings settings)
+    : settings_(std::make_shared<const CoreSettings>(as_used(std::move(settings)))),
+      module_(settings_->module) {}
 
 void Conductor::handle(TimePoint now, const CoreEvent& event, std::vector<Effect>& effects) {
   if (now < now_) fail_assertion("conductor", 0, "time went back");
@@ -15,9 +34,11 @@
 }
 
 std::optional<TimePoint> Conductor::due() const {
-  const auto own = timers_.due();
-  if (module_timers_.empty()) return own;
-  return own ? std::min(*own, module_timers_.begin()->first) : module_timers_.begin()->first;
+  auto first = timers_.due();
+  if (!module_timers_.empty())
+    first = first ? std::min(*first, module_timers_.begin()->first) : module_timers_.begin()->first;
+  if (first && seeded(Defect::timers_late)) *first += 20 * settings_->module.clock_step;
+  return first;
 }
 
 QueryRecord* Conductor::find_query(QueryId id) {
@@ -50,7 +71,7 @@
       answer(*still, AnswerKind::cancelled, Repeatable::unknown);
   }
   session.state.go(SessionState::closed, "client gone");
-  buffered_ -= session.untaken;
+  if (!seeded(Defect::untaken_bytes_left)) buffered_ -= session.untaken;
   sessions_.erase(found);
 }
 
@@ -103,8 +124,9 @@
   for (const AttemptRecord& attempt : query.attempts) {
     if (!attempt.out() || !attempt.link) continue;
     LinkRecord& link = links_.at(*attempt.link);
-    const bool room = session.untaken <= s_.client_window / 2;
-    if (!link.paused || !room || (buffered_ > s_.buffers_in_total && session.untaken > 0)) continue;
+    const bool room = session.untaken <= settings_->client_window / 2;
+    if (!link.paused || !room || (buffered_ > settings_->buffers_in_total && session.untaken > 0)) continue;
+    if (seeded(Defect::resume_forgotten)) continue;
     link.paused = false;
     act(ResumeLink{*attempt.link});
   }
@@ -133,16 +155,16 @@
 void Conductor::apply(const Send& action) {
   QueryRecord& query = queries_.at(action.request);
   if (query.over()) fail_assertion("query", query.id, "sent after its final answer");
-  if (query.state.is(QueryState::streaming))
+  if (query.state.is(QueryState::streaming) && !seeded(Defect::streamed_query_is_repeated))
     fail_assertion("query", query.id, "sent again after part of an answer went to the client");
   const auto index = static_cast<std::uint32_t>(query.attempts.size());
   AttemptRecord& attempt = query.attempts.emplace_back(action.engine, query.id, now_);
   Pool& pool = pools_[action.engine];
   if (!pool.ready()) return end(query, index, Result::moot);
   attempt.time_out = timers_.arm(now_ + action.time_out, {TimerUse::attempt_time_out, query.id, index});
-  switch (pool.place(s_.links_per_engine)) {
+  switch (pool.place(settings_->links_per_engine)) {
     case Pool::Place::reuse: {
-      const LinkId id = pool.take_idle();
+      const LinkId id = seeded(Defect::idle_link_taken_twice) ? pool.idle().back() : pool.take_idle();
       LinkRecord& link = links_.at(id);
       timers_.disarm(link.timer);
       attempt.link = id;
@@ -171,19 +193,22 @@
 void Conductor::apply(const Refuse& action) {
   QueryRecord* query = find_query(action.request);
   if (query == nullptr || query->over()) return;
-  answer(*query, AnswerKind::refused, Repeatable::harmless, action.retry_after);
+  const Duration advice = action.retry_after * (seeded(Defect::advice_too_long) ? 3 : 1);
+  answer(*query, AnswerKind::refused, Repeatable::harmless, advice);
 }
 
 void Conductor::apply(const Fail& action) {
   QueryRecord* query = find_query(action.request);
   if (query == nullptr || query->over()) return;
-  answer(*query, AnswerKind::failed, Repeatable::unknown);
+  const bool lie = seeded(Defect::harmless_after_a_run);
+  answer(*query, lie ? AnswerKind::refused : AnswerKind::failed,
+         lie ? Repeatable::harmless : Repeatable::unknown);
 }
 
 // The module asks for a timer with each query and counts in clock steps: due times go up to the next whole
 // one, so that those of a step are one, and the table holds no more than the longest patience has steps.
 void Conductor::apply(const SetTimer& action) {
-  const Duration step = std::max(s_.module.clock_step, Duration{1});
+  const Duration step = std::max(settings_->module.clock_step, Duration{1});
   const auto steps = (now_ + action.after + step - Duration{1}) / step;
   module_timers_.emplace(steps * step, action.token);
 }
@@ -195,7 +220,7 @@
   }
   LinkRecord& link = links_.at(open(action.engine, LinkUse::probe));
   timers_.disarm(link.timer);
-  link.timer = timers_.arm(now_ + s_.probe_time_out, {TimerUse::probe, link.state.id(), 0});
+  link.timer = timers_.arm(now_ + settings_->probe_time_out, {TimerUse::probe, link.state.id(), 0});
 }
 
 void Conductor::apply(const SetTerms& action) {
@@ -240,6 +265,7 @@
     case AttemptState::connecting:
       // The link may still come up, and serve another.
       if (attempt.link) links_.at(*attempt.link).query.reset();
+      if (attempt.link && seeded(Defect::link_left_open)) timers_.disarm(links_.at(*attempt.link).timer);
       attempt.link.reset();
       end(query, index, Result::moot);
       break;
@@ -254,11 +280,16 @@
     case AttemptState::answering: {
       const LinkId id = *attempt.link;
       LinkRecord& link = links_.at(id);
+      if (seeded(Defect::next_attempt_while_cancelling)) {
+        act(CancelOnEngine{id});
+        end(query, index, Result::cancelled);
+        break;
+      }
       attempt.state.go(AttemptState::cancelling, "module cancels");
-      link.state.go(LinkState::cancelling, "module cancels");
+      if (!seeded(Defect::cancelled_link_goes_on)) link.state.go(LinkState::cancelling, "module cancels");
       act(CancelOnEngine{id});
       timers_.disarm(link.timer);
-      link.timer = timers_.arm(now_ + s_.cancel_grace, {TimerUse::cancel_grace, id, 0});
+      link.timer = timers_.arm(now_ + settings_->cancel_grace, {TimerUse::cancel_grace, id, 0});
       if (link.paused) {  // its end must be read, or the engine never gets to hear of the cancel
         link.paused = false;
         act(ResumeLink{id});
@@ -290,7 +321,8 @@
     case AttemptState::answering: {
       const LinkId id = *attempt.link;
       act(CancelOnEngine{id});
-      end(query, index, Result::timed_out);
+      end(query, index,
+          seeded(Defect::time_out_told_as_never_ran) ? Result::connect_failed : Result::timed_out);
       close(id);
       break;
     }
@@ -303,7 +335,7 @@
 void Conductor::end(QueryRecord& query, std::uint32_t index, Result result, const AnswerEnd* told) {
   AttemptRecord& attempt = query.attempts[index];
   attempt.state.go(AttemptState::over, "ended");
-  timers_.disarm(attempt.time_out);
+  if (!seeded(Defect::time_out_left_armed)) timers_.disarm(attempt.time_out);
   attempt.result = result;
   attempt.took = now_ - attempt.began;
   if (attempt.link) {
@@ -320,14 +352,21 @@
   event.result = result;
   event.took = attempt.took;
   // From the first byte to the client on there is no further attempt.
-  event.request_over = result == Result::served || query.over() || midway;
+  event.request_over =
+      result == Result::served || query.over() || (midway && !seeded(Defect::streamed_query_is_repeated));
   if (told != nullptr && result == Result::served) {
     event.work = told->work;
     event.memory_mb = told->memory_mb;
   }
   if (told != nullptr) event.report = told->report;
-  tell(event);
+  if (seeded(Defect::reset_told_as_never_ran) && result == Result::reset)
+    event.result = Result::connect_failed;
+  if (!seeded(Defect::outcome_not_told) || result != Result::connect_failed) tell(event);
   const QueryId id = query.id;
+  if (seeded(Defect::streamed_query_is_repeated)) {
+    forget_if_done(id);
+    return;
+  }
   if (midway && !query.over()) answer(query, AnswerKind::failed, Repeatable::unknown);
   forget_if_done(id);
 }
@@ -345,7 +384,7 @@
   const LinkId id = ++last_link_;
   LinkRecord& link = links_.emplace(id, LinkRecord(id, engine, use, now_)).first->second;
   if (use == LinkUse::query) pools_[engine].opened();
-  link.timer = timers_.arm(now_ + s_.connect_time_out, {TimerUse::connect, id, 0});
+  link.timer = timers_.arm(now_ + settings_->connect_time_out, {TimerUse::connect, id, 0});
   act(OpenLink{id, engine, use});
   return id;
 }
@@ -353,18 +392,29 @@
 void Conductor::close(LinkId id) {
   LinkRecord& link = links_.at(id);
   if (link.query) fail_assertion("link", id, "closed under an attempt");
+  if (link.state.is(LinkState::sending)) never_goes_out(id);
   link.state.go(LinkState::closed, "closed");
   timers_.disarm(link.timer);
-  buffered_ -= link.kept;
+  if (!seeded(Defect::kept_bytes_left)) buffered_ -= link.kept;
   if (link.use == LinkUse::query) pools_[link.engine].closed(id);
   act(CloseLink{id});
   links_.erase(id);
 }
 
+// What was to go out in this very turn must not any more: its attempt is called one that never ran.
+void Conductor::never_goes_out(LinkId id) {
+  if (seeded(Defect::pending_send_goes_out)) return;
+  std::erase_if(*out_, [id](const Effect& effect) {
+    const auto* query = std::get_if<SendQuery>(&effect);
+    const auto* probe = std::get_if<SendProbe>(&effect);
+    return (query != nullptr && query->link == id) || (probe != nullptr && probe->link == id);
+  });
+}
+
 void Conductor::park(LinkId id, LinkRecord& link) {
   link.query.reset();
-  if (!pools_[link.engine].park(id, s_.idle_links_per_engine)) return close(id);
-  link.timer = timers_.arm(now_ + s_.idle_link_life, {TimerUse::idle_link, id, 0});
+  if (!pools_[link.engine].park(id, settings_->idle_links_per_engine)) return close(id);
+  link.timer = timers_.arm(now_ + settings_->idle_link_life, {TimerUse::idle_link, id, 0});
 }
 
 void Conductor::on(const LinkUp& event) {
@@ -399,7 +449,9 @@
         break;
       case LinkState::cancelling: result = Result::cancelled; break;
       default:
-        if (event.why == LinkLoss::broken_protocol) result = Result::engine_error;
+        // Nothing was heard of its end: it may still run, and its key has to rest.
+        if (event.why == LinkLoss::broken_protocol && seeded(Defect::broken_link_told_as_ended))
+          result = Result::engine_error;
         break;
     }
     end(queries_.at(*link->query), link->attempt, result);
@@ -419,6 +471,7 @@
   // What has not been handed over yet must not be: by the time that its link is up, the grace may be over.
   std::vector<LinkId> unsent;
   for (const auto& [id, link] : links_) {
+    if (seeded(Defect::drain_spares_opening_links) && link.state.is(LinkState::opening)) continue;
     if (link.engine == engine && (link.state.is(LinkState::opening) || link.state.is(LinkState::sending)))
       unsent.push_back(id);
   }
@@ -435,10 +488,16 @@
 }
 
 void Conductor::on(const FleetTold& event) {
+  if (seeded(Defect::drain_told_late) && event.scope == FleetScope::delta && !event.engines.empty() &&
+      event.engines[0].state == EngineState::draining)
+    return;
   // The module first: what is given back below must not be sent to the same engine once more.
   FleetChanged told;
   told.scope = event.scope;
-  told.engines = event.engines;
+  std::vector<EngineEntry> entries = event.engines;
+  for (EngineEntry& entry : entries)
+    if (seeded(Defect::cold_start_not_told)) entry.started = {};
+  told.engines = entries;
   drain();
   tell(told);
   drain();  // the span in it lives only as long as the event
@@ -486,8 +545,8 @@
 // A slow reader slows its engine's link. When all buffers together are full, a link with nothing untaken
 // still gets to hold one part, so that no client starves another.
 void Conductor::rest_if_full(LinkId id, LinkRecord& link, const SessionRecord& session) {
-  const bool full =
-      session.untaken > s_.client_window || (buffered_ > s_.buffers_in_total && session.untaken > 0);
+  const bool full = session.untaken > settings_->client_window ||
+                    (buffered_ > settings_->buffers_in_total && session.untaken > 0);
   if (!full || link.paused) return;
   link.paused = true;
   act(PauseLink{id});
@@ -504,9 +563,11 @@
   buffered_ += event.bytes;
   if (query.over()) {
     attempt.spoiled = true;
+    if (seeded(Defect::delivers_after_the_answer) && sessions_.contains(query.session))
+      return deliver(event.link, *link, query);
     return discard(event.link, *link);
   }
-  const bool overfull = link->kept > s_.answer_buffer || buffered_ > s_.buffers_in_total;
+  const bool overfull = link->kept > settings_->answer_buffer || buffered_ > settings_->buffers_in_total;
   if (attempt.state.is(AttemptState::cancelling)) {
     // It may still end well, but no part of it is given out before it has; too much is let go.
     if (!overfull && !query.state.is(QueryState::streaming)) return;
@@ -530,7 +591,8 @@
     return end_probe(event.link, well ? Result::served : Result::engine_error, &event);
   }
   if (!link->query) fail_assertion("link", event.link, "an answer ended where none was asked for");
-  const bool clean = link->state.is(LinkState::busy) && event.reusable;
+  const bool clean =
+      link->state.is(LinkState::busy) && (event.reusable || seeded(Defect::unclean_link_is_parked));
   mark_sent(*link);
   QueryRecord& query = queries_.at(*link->query);
   const std::uint32_t index = link->attempt;
@@ -548,7 +610,7 @@
     case Ending::cancelled: result = Result::cancelled; break;
   }
   if (result == Result::served && !query.over()) {
-    deliver(event.link, *link, query);
+    if (!seeded(Defect::rest_of_answer_lost)) deliver(event.link, *link, query);
     attempt.result = result;
     attempt.took = now_ - attempt.began;
     answer(query, AnswerKind::served, Repeatable::unknown);
@@ -581,7 +643,7 @@
   out.took = now_ - query.arrived;
   // The module answers a little before the patience ends; what it gives up earlier it says is for load.
   out.time_up = (kind == AnswerKind::refused || kind == AnswerKind::failed) &&
-                out.took + 4 * s_.module.clock_step >= query.patience;
+                out.took + 4 * settings_->module.clock_step >= query.patience;
   for (const AttemptRecord& a : query.attempts) {
     out.attempts.push_back({a.engine, a.result, a.began - query.arrived, a.result ? a.took : now_ - a.began});
   }
@@ -600,6 +662,7 @@
       act(ResumeLink{*a.link});
     }
   }
+  if (seeded(Defect::answers_twice) && out.kind == AnswerKind::failed) act(out);
   act(std::move(out));
   forget_if_done(query.id);
 }
@@ -653,8 +716,9 @@
         tell(ClientLeft{id});
         drain();
         if (QueryRecord* still = find_query(id); still != nullptr && !still->over()) {
-          answer(*still, harmless ? AnswerKind::refused : AnswerKind::failed,
-                 harmless ? Repeatable::harmless : Repeatable::unknown, {}, true);
+          const bool lie = seeded(Defect::leaving_calls_all_harmless);
+          answer(*still, harmless || lie ? AnswerKind::refused : AnswerKind::failed,
+                 harmless || lie ? Repeatable::harmless : Repeatable::unknown, {}, true);
         }
       }
       leave_if_done();
@@ -726,10 +790,68 @@
   }
   for (const auto& [id, pool] : pools_) {
     if (pool.links() != held[id]) fail_assertion("pool of engine", id, "links are miscounted");
-    if (pool.links() > s_.links_per_engine) fail_assertion("pool of engine", id, "more links than allowed");
+    if (pool.links() > settings_->links_per_engine)
+      fail_assertion("pool of engine", id, "more links than allowed");
   }
   if (bytes != buffered_) fail_assertion("conductor", 0, "buffered bytes are miscounted");
   if (open != open_queries_) fail_assertion("conductor", 0, "open queries are miscounted");
 }
 
+// ---- State ----
+
+void Conductor::visit(StateVisitor& v) {
+  const Walk w(v, now_);
+  // Links first: what refers to one is told by what the link is, since ids only count up.
+  w.table(links_, [&](LinkId id, LinkRecord& l) {
+    w.name(Name::link, id);
+    w.name(Name::engine, l.engine);
+    w.wholes(l.use, l.state.state(), l.query.has_value(), l.kept, l.paused, l.timer.has_value());
+    if (l.query) w.name(Name::query, *l.query), w.wholes(l.attempt);
+    if (l.timer) w.until(l.timer->first);
+    if (l.use == LinkUse::probe) w.since(l.opened);
+  });
+  w.table(pools_, [&](EngineId id, Pool& pool) {
+    w.name(Name::engine, id);
+    w.wholes(pool.ready(), pool.links());
+    if (pool.started().count() > 0) w.since(pool.started());
+    w.list(pool.idle(), [&](LinkId link) { w.name(Name::link, link); });
+  });
+  w.table(sessions_, [&](SessionId id, SessionRecord& s) {
+    w.name(Name::session, id);
+    const bool asking = s.state.is(SessionState::asking);
+    w.wholes(s.state.state(), s.untaken);
+    if (asking) w.name(Name::query, s.query);
+  });
+  w.table(queries_, [&](QueryId id, QueryRecord& q) {
+    w.name(Name::query, id);
+    w.name(Name::session, q.session);
+    w.wholes(q.class_index, q.priority, q.state.state());
+    w.number(q.memory_mb);
+    w.since(q.arrived);
+    w.until(q.arrived + q.patience);
+    w.list(q.attempts, [&](AttemptRecord& a) {
+      w.name(Name::engine, a.engine);
+      w.wholes(a.state.state(), a.link.has_value(), a.result.has_value(), a.spoiled);
+      if (a.result) w.wholes(*a.result);
+      if (a.link) w.name(Name::link, *a.link);
+      if (a.out()) w.since(a.began);
+    });
+  });
+  timers_.each([&](TimePoint at, const Timer& timer) {
+    w.until(at);
+    w.wholes(timer.use, timer.attempt);
+    switch (timer.use) {
+      case TimerUse::attempt_time_out: w.name(Name::query, timer.subject); break;
+      case TimerUse::leave: break;
+      default: w.name(Name::link, timer.subject); break;
+    }
+  });
+  w.list(module_timers_, [&](const auto& timer) {
+    w.until(timer.first);
+    w.wholes(timer.second);
+  });
+  w.wholes(buffered_, open_queries_, leaving_, left_);
+  module_.visit(v);
+}
+
 }  // namespace paddlestand::core
--- a/src/core/conductor.hpp
+++ b/src/core/conductor.hpp
@@ -4,12 +4,15 @@
 // link that a cancel could still strike, nothing sent to an engine that was told to drain while its link
 // opened.
 //
+// A copy would do the same from there on, and shares nothing that changes: so the explorer branches.
+//
 // Not thread-safe: one host thread owns it. Events of links that were closed are passed over, since a host's
 // completions may cross with CloseLink; every other event that makes no sense throws IllegalTransition.
 #pragma once
 
 #include <deque>
 #include <map>
+#include <memory>
 #include <set>
 #include <unordered_map>
 
@@ -42,6 +45,9 @@
   // Throws where the ledger contradicts itself: for tests, the explorer and builds with assertions.
   void check() const;
 
+  // All that its future hangs on, but for its settings, as of its last event.
+  void visit(StateVisitor& visitor);
+
  private:
   void on(const SessionOpened& event);
   void on(const SessionClosed& event);
@@ -92,6 +98,7 @@
   void rest_if_full(LinkId id, LinkRecord& link, const SessionRecord& session);
   void answer(QueryRecord& query, AnswerKind kind, Repeatable repeatable, Duration retry_after = {},
               bool leaving = false);
+  void never_goes_out(LinkId id);
   void forget_if_done(QueryId id);
   void leave_if_done();
   void on_timer(const Timer& timer);
@@ -100,7 +107,7 @@
   LinkRecord* find_link(LinkId id);
   void act(Effect effect) { out_->push_back(std::move(effect)); }
 
-  CoreSettings s_;
+  std::shared_ptr<const CoreSettings> settings_;  // never changed: copies have them together
   WorkloadManager module_;
   TimePoint now_{};
   std::vector<Effect>* out_ = nullptr;
--- a/src/core/timer_queue.hpp
+++ b/src/core/timer_queue.hpp
@@ -42,6 +42,11 @@
     return timer;
   }
   [[nodiscard]] std::size_t size() const { return queue_.size(); }
+  // In the order in which they fall due.
+  template <typename Each>
+  void each(Each each) const {
+    for (const auto& [handle, timer] : queue_) each(handle.first, timer);
+  }
 
  private:
   std::map<Handle, Timer> queue_;
--- a/src/service/link.cpp
+++ b/src/service/link.cpp
@@ -114,35 +114,38 @@
   }
 }
 
-void Link::send(std::string bytes) {
+core::Written Link::send(std::string bytes) {
   error_code error;
   const std::size_t sent = socket_.write_some(asio::buffer(bytes), error);
-  if (error && error != asio::error::would_block && error != asio::error::try_again) {
-    // The reader will find the same; told now, since nothing of the query was handed over.
-    manager_.tell(core::LinkLost{id_, core::LinkLoss::closed});
-    return;
-  }
-  if (sent == bytes.size()) {
-    manager_.tell(core::QuerySent{id_});
-    return;
-  }
+  // The reader will find the same; told now, since nothing of the query was handed over.
+  if (error && error != asio::error::would_block && error != asio::error::try_again)
+    return core::Written::failed;
+  if (sent == bytes.size()) return core::Written::whole;
   writing_ = std::move(bytes);
   written_ = sent;
   asio::co_spawn(
       manager_.io(), [self = shared_from_this()] { return self->write_on(); }, asio::detached);
+  return core::Written::partly;
 }
 
+// Waits for room and writes in one turn: an asynchronous write would hand the last byte over in the reactor,
+// and whatever came before its completion would still take the query for one that never ran.
 asio::awaitable<void> Link::write_on() {
   const auto self = shared_from_this();
-  error_code error;
-  co_await asio::async_write(socket_, asio::buffer(writing_.data() + written_, writing_.size() - written_),
-                             asio::redirect_error(asio::use_awaitable, error));
-  if (closed_) co_return;
-  std::string().swap(writing_);
-  if (error) {
-    lost(core::LinkLoss::closed);
-  } else {
+  for (;;) {
+    error_code error;
+    co_await socket_.async_wait(tcp::socket::wait_write, asio::redirect_error(asio::use_awaitable, error));
+    if (closed_) co_return;
+    if (!error) written_ += socket_.write_some(asio::buffer(writing_) + written_, error);
+    if (error == asio::error::would_block || error == asio::error::try_again) continue;
+    if (error) {
+      lost(core::LinkLoss::closed);
+      co_return;
+    }
+    if (written_ < writing_.size()) continue;
+    std::string().swap(writing_);
     manager_.tell(core::QuerySent{id_});
+    co_return;
   }
 }
 
--- a/src/service/link.hpp
+++ b/src/service/link.hpp
@@ -19,7 +19,8 @@
 
   void start();
   void close();
-  void send(std::string bytes);  // QuerySent is told once all of it was handed to the socket
+  // What is written only partly goes on by itself, and QuerySent is told in the turn of the last byte.
+  core::Written send(std::string bytes);
   void pause() { paused_ = true; }
   void resume();
 
--- a/src/service/manager.cpp
+++ b/src/service/manager.cpp
@@ -31,7 +31,7 @@
 constexpr std::size_t most_turned_away = 64;  // connections at once that are told so
 constexpr auto side_connection_time = 1s;  // cancels and changes of terms
 
-TimePoint now() { return steady_clock::now().time_since_epoch(); }
+TimePoint reading() { return steady_clock::now().time_since_epoch(); }
 
 std::uint32_t random_number() {
   std::uint32_t value = 0;
@@ -50,13 +50,13 @@
       engine_password_(std::move(engine_password)),
       log_(config_.log, config_.name),
       classifier_(config_.classifier, config_.core.module),
-      conductor_(config_.core),
+      desk_(config_.core, true),
       acceptor_(io),
       signals_(io, SIGTERM, SIGINT, SIGHUP),
       timer_(io),
       scratch_(scratch_bytes) {
   front_settings_.most_message = config_.listen.most_message;
-  since_1970_ = now() - std::chrono::system_clock::now().time_since_epoch();
+  since_1970_ = reading() - std::chrono::system_clock::now().time_since_epoch();
 }
 
 Manager::~Manager() = default;
@@ -90,35 +90,30 @@
 // ---- The core ----
 
 void Manager::tell(core::CoreEvent event) {
-  told_.push_back({std::move(event), std::nullopt});
-  drain();
+  desk_.tell(std::move(event), *this);
+  arm();
 }
 
 void Manager::tell_end(const core::AnswerEnd& event, const pg::LinkAnswerEnd& end) {
-  told_.push_back({event, end});
-  drain();
-}
-
-// One event after another, with all that follows from each; what is told meanwhile waits.
-void Manager::drain() {
-  if (draining_ || stopped_) return;
-  draining_ = true;
-  while (!told_.empty() && !stopped_) {
-    const Told next = std::move(told_.front());
-    told_.pop_front();
-    current_end_ = next.end ? &*next.end : nullptr;
-    effects_.clear();
-    conductor_.handle(now(), next.event, effects_);
-    for (std::size_t i = 0; i < effects_.size(); ++i)
-      std::visit([this](const auto& effect) { carry_out(effect); }, effects_[i]);
-    current_end_ = nullptr;
-  }
-  draining_ = false;
-  arm();
+  ends_[event.link] = end;
+  tell(event);
+}
+
+TimePoint Manager::now() { return reading(); }
+
+void Manager::taking(const core::CoreEvent& event) {
+  current_end_.reset();
+  const auto* end = std::get_if<core::AnswerEnd>(&event);
+  if (end == nullptr) return;
+  if (auto told = ends_.extract(end->link)) current_end_ = std::move(told.mapped());
+}
+
+void Manager::broken(const core::Breach& breach) {
+  log_.error("promise", std::string(core::name_of(breach.promise)) + ": " + breach.what);
 }
 
 void Manager::arm() {
-  const auto due = conductor_.due();
+  const auto due = desk_.due();
   if (!due || stopped_ || (armed_ && *armed_ <= *due)) return;
   armed_ = due;
   timer_.expires_at(steady_clock::time_point(std::chrono::duration_cast<steady_clock::duration>(*due)));
@@ -145,15 +140,15 @@
   link->start();
 }
 
-void Manager::carry_out(const core::SendQuery& effect) {
+core::Written Manager::send(const core::SendQuery& effect) {
   const auto link = find_link(effect.link);
   const auto session = find_session(queries_.at(effect.query));
-  link->send(link->protocol().flight(session->query(), effect.priority, effect.memory_mb));
+  return link->send(link->protocol().flight(session->query(), effect.priority, effect.memory_mb));
 }
 
-void Manager::carry_out(const core::SendProbe& effect) {
+core::Written Manager::send(const core::SendProbe& effect) {
   const auto link = find_link(effect.link);
-  link->send(link->protocol().probe());
+  return link->send(link->protocol().probe());
 }
 
 void Manager::carry_out(const core::CancelOnEngine& effect) {
@@ -194,7 +189,8 @@
 void Manager::carry_out(const core::Answer& effect) {
   queries_.erase(effect.query);
   log_.answer(effect, config_.core.module.classes[effect.class_index].name);
-  if (const auto session = find_session(effect.session)) session->answered(effect, current_end_);
+  if (const auto session = find_session(effect.session))
+    session->answered(effect, current_end_ ? &*current_end_ : nullptr);
 }
 
 void Manager::carry_out(const core::Remark& effect) { log_.info("judgment", effect.text); }
@@ -208,6 +204,7 @@
 
 void Manager::stop() {
   stopped_ = true;
+  desk_.stop();
   io_.stop();
 }
 
--- a/src/service/manager.hpp
+++ b/src/service/manager.hpp
@@ -15,7 +15,7 @@
 
 #include "config/manager_config.hpp"
 #include "core/classify.hpp"
-#include "core/conductor.hpp"
+#include "core/desk.hpp"
 #include "observe/log.hpp"
 #include "protocol/pg/front.hpp"
 
@@ -24,14 +24,14 @@
 class Session;
 class Link;
 
-class Manager {
+class Manager : private core::Hands {
  public:
   using tcp = boost::asio::ip::tcp;
 
   // `config_path` is read again at a reload.
   Manager(boost::asio::io_context& io, config::ManagerConfig config, std::string config_path, pg::Users users,
           std::string engine_password);
-  ~Manager();
+  ~Manager() override;
   Manager(const Manager&) = delete;
   Manager& operator=(const Manager&) = delete;
 
@@ -39,7 +39,7 @@
   void start();
   [[nodiscard]] std::uint16_t port() const { return port_; }
 
-  [[nodiscard]] core::Counts counts() const { return conductor_.counts(); }
+  [[nodiscard]] core::Counts counts() const { return desk_.counts(); }
 
   void reload();
   void leave();
@@ -67,21 +67,24 @@
  private:
   friend class Link;
 
-  void carry_out(const core::OpenLink& effect);
-  void carry_out(const core::SendQuery& effect);
-  void carry_out(const core::SendProbe& effect);
-  void carry_out(const core::CancelOnEngine& effect);
-  void carry_out(const core::ChangeTerms& effect);
-  void carry_out(const core::CloseLink& effect);
-  void carry_out(const core::Deliver& effect);
-  void carry_out(const core::Discard& effect);
-  void carry_out(const core::PauseLink& effect);
-  void carry_out(const core::ResumeLink& effect);
-  void carry_out(const core::Answer& effect);
-  void carry_out(const core::Remark& effect);
-  void carry_out(const core::Left& effect);
-
-  void drain();
+  // The desk's.
+  TimePoint now() override;
+  void taking(const core::CoreEvent& event) override;
+  core::Written send(const core::SendQuery& effect) override;
+  core::Written send(const core::SendProbe& effect) override;
+  void carry_out(const core::OpenLink& effect) override;
+  void carry_out(const core::CancelOnEngine& effect) override;
+  void carry_out(const core::ChangeTerms& effect) override;
+  void carry_out(const core::CloseLink& effect) override;
+  void carry_out(const core::Deliver& effect) override;
+  void carry_out(const core::Discard& effect) override;
+  void carry_out(const core::PauseLink& effect) override;
+  void carry_out(const core::ResumeLink& effect) override;
+  void carry_out(const core::Answer& effect) override;
+  void carry_out(const core::Remark& effect) override;
+  void carry_out(const core::Left& effect) override;
+  void broken(const core::Breach& breach) override;
+
   void arm();
   void stop();
   boost::asio::awaitable<void> accept();
@@ -103,7 +106,7 @@
   observe::Log log_;
   core::Classifier classifier_;
   pg::FrontSettings front_settings_;
-  core::Conductor conductor_;
+  core::Desk desk_;
 
   tcp::acceptor acceptor_;
   std::uint16_t port_ = 0;
@@ -119,15 +122,10 @@
   core::SessionId last_session_ = 0;
   core::QueryId last_query_ = 0;
 
-  struct Told {
-    core::CoreEvent event;
-    std::optional<pg::LinkAnswerEnd> end;
-  };
-  std::deque<Told> told_;
+  std::unordered_map<core::LinkId, pg::LinkAnswerEnd> ends_;  // of answers that wait to be taken
+  std::optional<pg::LinkAnswerEnd> current_end_;
   std::size_t turned_away_ = 0;  // being told that there are too many sessions
-  bool draining_ = false, stopped_ = false, leaving_ = false;
-  const pg::LinkAnswerEnd* current_end_ = nullptr;
-  std::vector<core::Effect> effects_;
+  bool stopped_ = false, leaving_ = false;
   std::vector<char> scratch_;
 };
 
--- a/src/workload_manager.cpp
+++ b/src/workload_manager.cpp
@@ -2,7 +2,7 @@
 // Its types, events and actions: include/paddlestand/workload_manager.hpp. Kept and changed: docs/design.md.
 //
 // Sections: 1 constants | 2 class bound (predictive and reactive) | 3 ledger of requests and attempts
-//           4 engine health | 5 placement | 6 rule guards | 7 event handlers
+//           4 engine health | 5 placement | 6 rule guards | 7 event handlers | 8 state, walked over
 //
 // Inside, times are seconds since the first event and work is seconds on one thread.
 #include "paddlestand/workload_manager.hpp"
@@ -154,8 +154,10 @@
 
 class WorkloadManager::Impl {
  public:
-  explicit Impl(Settings settings) : s_(std::move(settings)), classes_(s_.classes.size()) {
-    for (auto& c : s_.classes) c.threads = usable(c.threads, 1.0);
+  explicit Impl(Settings settings)
+      : settings_(std::make_shared<const Settings>(checked(std::move(settings)))),
+        s_(*settings_),
+        classes_(s_.classes.size()) {
     instances_ = std::max(1.0, static_cast<double>(s_.instances));
     random_.seed(s_.seed);
     if (s_.may_tell_peers) peers_.resize(std::min<std::size_t>(s_.instances, 65536));
@@ -178,7 +180,14 @@
     tell_peers();
   }
 
+  void visit(StateVisitor& v);
+
  private:
+  static Settings checked(Settings settings) {
+    for (auto& c : settings.classes) c.threads = usable(c.threads, 1.0);
+    return settings;
+  }
+
   // ---- 2. Class bound ----
 
   // A told cost is corrected by what its class's answers told: costs told far too low would let the running
@@ -918,6 +927,7 @@
       next_period_ = now_ + period - watch_period / 2;
       set_bounds();
       drop_older(further_, s_.attempt_budget ? 2 * seconds(s_.attempt_budget->window) : 0.0);
+      std::erase_if(rests_, [&](const auto& rest) { return rest.second < now_; });
       for (auto& [id, e] : engines_) {
         if (now_ >= e.cold_until) e.cold_sends.clear();
       }
@@ -962,7 +972,8 @@
     a.share_at = now_;
   }
 
-  Settings s_;
+  std::shared_ptr<const Settings> settings_;  // never changed; copies of one module have it together
+  const Settings& s_;
   std::vector<ClassState> classes_;
   std::map<RequestId, Request> requests_;
   std::map<EngineId, Engine> engines_;
@@ -991,8 +1002,138 @@
   std::vector<Action>* out_ = nullptr;
 };
 
+// ---- 8. State, walked over --------------------------------------------------------------------------------
+
+namespace {
+
+using Name = StateVisitor::Name;
+
+void numbers(StateVisitor& v, auto&... values) { (v.number(values), ...); }
+template <typename T>
+void whole(StateVisitor& v, T& value) {
+  auto raw = static_cast<std::uint64_t>(value);
+  v.whole(raw);
+  if (v.reads()) value = static_cast<T>(raw);
+}
+void wholes(StateVisitor& v, auto&... values) { (whole(v, values), ...); }
+template <typename T>
+void named(StateVisitor& v, Name kind, T& id) {
+  std::uint64_t raw = id;
+  v.name(kind, raw);
+  if (v.reads()) id = static_cast<T>(raw);
+}
+
+template <typename List, typename Each>
+void list(StateVisitor& v, List& all, Each each, bool in_order = true) {
+  const std::size_t n = v.table(all.size(), in_order);
+  if (v.reads()) all.resize(n);
+  for (auto& one : all) v.entry(), each(one);
+  v.end();
+}
+
+template <typename Map, typename Each>
+void table(StateVisitor& v, Map& all, Each each) {
+  const std::size_t n = v.table(all.size(), false);
+  if (v.reads()) all.clear();
+  for (std::size_t i = 0; v.reads() && i < n; ++i) {
+    typename Map::key_type key{};
+    typename Map::mapped_type one{};
+    v.entry(), each(key, one);
+    all.emplace(key, std::move(one));
+  }
+  for (auto place = all.begin(); !v.reads() && place != all.end(); ++place) {
+    typename Map::key_type key = place->first;
+    v.entry(), each(key, place->second);
+  }
+  v.end();
+}
+
+void walk(StateVisitor& v, Attempt& a) {
+  named(v, Name::engine, a.engine);
+  wholes(v, a.lane, a.out, a.cut, a.told, a.roomy, a.may_have_run, a.charged);
+  numbers(v, a.base, a.memory, a.share);
+  v.since(a.sent), v.since(a.heard), v.since(a.share_at);
+}
+
+void walk(StateVisitor& v, Request& r) {
+  wholes(v, r.cls, r.key, r.cost_told, r.over_share, r.held, r.over, r.begun);
+  numbers(v, r.tables, r.told, r.memory);
+  v.since(r.arrived), v.until(r.deadline);
+  list(v, r.attempts, [&](Attempt& a) { walk(v, a); });
+}
+
+void walk(StateVisitor& v, ClassState& c) {
+  list(v, c.queue, [&](RequestId& id) { v.name(Name::request, id); });
+  numbers(v, c.queued, c.running, c.rate, c.b_delta, c.b_total, c.last_error, c.largest, c.finished);
+  numbers(v, c.latency_sum, c.answers, c.finish_rate, c.bias, c.samples, c.scatter, c.mean_cost, c.arrivals);
+  numbers(v, c.memory_bias, c.memory_samples, c.pace, c.pace_samples);
+  wholes(v, c.held_back, c.closed, c.asked, c.told);
+}
+
+void walk(StateVisitor& v, EngineEntry& entry, const TimePoint& origin) {
+  bool known = entry.started.count() > 0;
+  double started = seconds(entry.started - origin);
+  wholes(v, entry.state, entry.kind, entry.zone, entry.cell, known);
+  v.number(entry.weight);
+  if (known) v.since(started);
+  if (v.reads()) entry.started = known ? origin + TimePoint{std::llround(started * 1e9)} : TimePoint{};
+}
+
+void walk(StateVisitor& v, Engine& e) {
+  wholes(v, e.listed, e.probing, e.health, e.trial_good);
+  numbers(v, e.cores, e.size, e.queries, e.threads, e.memory, e.told_threads, e.told_memory, e.failures);
+  numbers(v, e.overdue, e.shun_length);
+  v.since(e.judged_at), v.since(e.last_answer), v.since(e.first_out);
+  v.until(e.full_until), v.until(e.cold_until), v.until(e.shunned_until);
+  list(v, e.cold_sends, [&](std::pair<double, double>& one) { v.since(one.first), v.number(one.second); });
+  table(v, e.writers, [&](double& key, int& count) { v.number(key), whole(v, count); });
+}
+
+}  // namespace
+
+void WorkloadManager::Impl::visit(StateVisitor& v) {
+  v.clock(now_);
+  const auto times = [&](std::deque<double>& all) { list(v, all, [&](double& at) { v.since(at); }); };
+  list(v, classes_, [&](ClassState& c) { walk(v, c); });
+  table(v, engines_, [&](EngineId& id, Engine& e) {
+    named(v, Name::engine, id);
+    if (v.reads()) e.entry.engine = id;
+    walk(v, e.entry, origin_), walk(v, e);
+  });
+  table(v, requests_, [&](RequestId& id, Request& r) {
+    v.name(Name::request, id);
+    r.id = id;
+    walk(v, r);
+  });
+  const auto line = [&](std::vector<RequestId>& ids) {
+    list(v, ids, [&](RequestId& id) { v.name(Name::request, id); });
+  };
+  table(v, turns_, [&](std::uint64_t& key, auto& ids) { v.whole(key), line(ids); });
+  table(v, rests_, [&](std::uint64_t& key, double& until) { v.whole(key), v.until(until); });
+  times(taken_), times(further_), times(cuts_);
+  list(v, tenant_tokens_, [&](double& tokens) { v.number(tokens); });
+  table(v, zone_load_, [&](std::uint32_t& zone, double& load) { whole(v, zone), v.number(load); });
+  list(v, peers_, [&](PeerNews& peer) {
+    v.since(peer.at);
+    list(v, peer.out, [&](ToldAttempt& q) {
+      named(v, Name::engine, q.engine);
+      numbers(v, q.threads, q.memory_share);
+    });
+  });
+  numbers(v, ready_, ill_, untold_memory_, memory_bound_, news_tokens_, total_bound_, usual_failures_);
+  for (double& threads : threads_out_) v.number(threads);
+  v.until(news_at_), v.since(news_seen_), v.since(tokens_at_), v.until(next_period_), v.until(next_watch_);
+  v.until(resubscribe_at_), whole(v, started_), v.generator(random_);
+  if (!v.reads()) return;
+  ends_.clear();
+  for (const auto& [id, r] : requests_)
+    if (!r.over) ends_.insert({r.deadline, id});
+}
+
 WorkloadManager::WorkloadManager(Settings settings) : impl_(std::make_unique<Impl>(std::move(settings))) {}
 WorkloadManager::~WorkloadManager() = default;
+WorkloadManager::WorkloadManager(const WorkloadManager& other)
+    : impl_(std::make_unique<Impl>(*other.impl_)) {}
 WorkloadManager::WorkloadManager(WorkloadManager&&) noexcept = default;
 WorkloadManager& WorkloadManager::operator=(WorkloadManager&&) noexcept = default;
 
@@ -1000,4 +1141,6 @@
   impl_->handle(now, event, actions);
 }
 
+void WorkloadManager::visit(StateVisitor& visitor) { impl_->visit(visitor); }
+
 }  // namespace paddlestand
