explore: the heart that ships, searched breadth first and by random walks at size

Need: no path of an attempt (sent, timed out, resent, answered late, cancelled) may break a rule, and hope is no proof. lab/explore/ branches over the desk, the conductor and the module themselves, digests states (times relative, engines under permutation, links by what they are) and holds every move against the promises. Two mends from what it found: a keyed query's repeat could leave after the engines forgot its key, since its link took up to connect-time to come up (the module's window is now shorter by that); and when a client let a query go, the next of its key went out in the same turn ahead of its final answer (it is answered first now).

--- a/apps/commands.hpp
+++ b/apps/commands.hpp
@@ -11,5 +11,6 @@
 inline constexpr int exit_bad_usage = 3;
 
 void add_day(CLI::App& app, int& result);
+void add_explore(CLI::App& app, int& result);
 
 }  // namespace paddlestand::app
--- a/apps/paddlestand.cpp
+++ b/apps/paddlestand.cpp
@@ -129,6 +129,7 @@
   verifier->callback([&] { result = app::make_verifier(user); });
 
   app::add_day(app, result);
+  app::add_explore(app, result);
   app.add_subcommand("version", "Print the version")->callback([] { std::cout << "paddlestand 0.2.0\n"; });
 
   try {
--- a/include/paddlestand/workload_manager.hpp
+++ b/include/paddlestand/workload_manager.hpp
@@ -237,10 +237,12 @@
   virtual ~StateVisitor() = default;
   [[nodiscard]] virtual bool reads() const { return false; }
   virtual void clock(double& now) = 0;
+  virtual void behind(double) {}  // what follows was last told the time so many seconds ago
   virtual void number(double& value) = 0;
   virtual void whole(std::uint64_t& value) = 0;
   virtual void since(double& time) = 0;
   virtual void until(double& time) = 0;
+  virtual void counted(double& time) { since(time); }  // with others of its table, over a window
   virtual void name(Name kind, std::uint64_t& id) = 0;
   virtual void generator(std::mt19937_64& state) = 0;
   virtual std::size_t table(std::size_t entries, bool in_order) = 0;
--- /dev/null
+++ b/lab/explore/digest.hpp
@@ -0,0 +1,76 @@
+// Digests a state, so that two that can only go the same way are one: times relative to now, engines under a
+// permutation, links by what they are instead of by number, tables without order.
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+#include "paddlestand/workload_manager.hpp"
+
+namespace paddlestand::explore {
+
+class Digest final : public StateVisitor {
+ public:
+  // `engines`: what each engine is called, by its id; ids beyond keep theirs.
+  explicit Digest(std::span<const std::uint8_t> engines) : engines_(engines) { frames_.push_back({}); }
+
+  void clock(double& now) override { now_ = now; }
+  void behind(double seconds) override { behind_ = seconds; }
+  // Time that passed since what is walked over was told of it.
+  void lag(double seconds) { lag_ = seconds; }
+  void number(double& value) override;
+  void whole(std::uint64_t& value) override { put(value); }
+  void since(double& time) override;
+  void until(double& time) override;
+  // Histories are shorter than the windows: that it is counted is all that matters.
+  void counted(double&) override {}
+  void name(Name kind, std::uint64_t& id) override;
+  // Draws only break ties between engines that are alike; docs/design/exploration.md says what that loses.
+  void generator(std::mt19937_64&) override {}
+  std::size_t table(std::size_t entries, bool in_order) override;
+  void entry() override;
+  void end() override;
+
+  [[nodiscard]] std::uint64_t value() const;
+
+ private:
+  struct Frame {
+    std::size_t start = 0;  // of its present entry
+    std::uint64_t sum = 0;
+    std::uint64_t defines = 0;  // the link whose entry this is
+    bool in_order = true, entered = false;
+  };
+
+  void put(std::uint64_t value) { words_.push_back(value); }
+  void close_entry(Frame& frame);
+
+  std::span<const std::uint8_t> engines_;
+  double now_ = 0, behind_ = 0, lag_ = 0;
+  std::vector<std::uint64_t> words_;
+  std::vector<Frame> frames_;
+  std::unordered_map<std::uint64_t, std::uint64_t> links_;  // what each is, once known
+};
+
+// Counts requests that a module still knows of.
+class RequestCounter final : public StateVisitor {
+ public:
+  void clock(double&) override {}
+  void number(double&) override {}
+  void whole(std::uint64_t&) override {}
+  void since(double&) override {}
+  void until(double&) override {}
+  void counted(double&) override {}
+  void name(Name kind, std::uint64_t&) override { requests_ += kind == Name::request ? 1 : 0; }
+  void generator(std::mt19937_64&) override {}
+  std::size_t table(std::size_t entries, bool) override { return entries; }
+  void entry() override {}
+  void end() override {}
+  [[nodiscard]] std::size_t requests() const { return requests_; }
+
+ private:
+  std::size_t requests_ = 0;
+};
+
+}  // namespace paddlestand::explore
--- a/src/core/conductor.cpp
+++ b/src/core/conductor.cpp
@@ -14,6 +14,9 @@
   if (seeded(Defect::budget_off_by_one) && settings.module.attempt_budget)
     settings.module.attempt_budget->floor += 1;
   for (ClassSettings& k : settings.module.classes) {
+    // What the module sends now may go out so much later, once its link is up.
+    if (!seeded(Defect::connect_time_forgotten))
+      k.key_window = std::max(Duration{}, k.key_window - settings.connect_time_out);
     if (seeded(Defect::placement_lost)) k.allowed_zones.reset();
   }
   return settings;
@@ -63,12 +66,13 @@
   if (found == sessions_.end()) fail_assertion("session", event.session, "closed, but not open");
   SessionRecord& session = found->second;
   if (session.state.is(SessionState::asking)) {
+    // The client hears nothing of it, but what became of its query is accounted for; and first, so that
+    // nothing that waits for it goes out before it is over.
     QueryRecord& query = queries_.at(session.query);
-    tell(ClientLeft{query.id});
+    const QueryId id = query.id;
+    answer(query, AnswerKind::cancelled, Repeatable::unknown);
+    tell(ClientLeft{id});
     drain();
-    // The client hears nothing of it, but what became of its query is accounted for.
-    if (QueryRecord* still = find_query(session.query); still != nullptr && !still->over())
-      answer(*still, AnswerKind::cancelled, Repeatable::unknown);
   }
   session.state.go(SessionState::closed, "client gone");
   if (!seeded(Defect::untaken_bytes_left)) buffered_ -= session.untaken;
@@ -80,10 +84,8 @@
   // A cancel that comes after the answer finds nothing under way: it must not strike the next query.
   if (found == sessions_.end() || !found->second.state.is(SessionState::asking)) return;
   const QueryId id = found->second.query;
+  answer(queries_.at(id), AnswerKind::cancelled, Repeatable::unknown);
   tell(ClientLeft{id});
-  drain();
-  if (QueryRecord* query = find_query(id); query != nullptr && !query->over())
-    answer(*query, AnswerKind::cancelled, Repeatable::unknown);
 }
 
 void Conductor::on(const QueryArrived& event) {
@@ -144,6 +146,7 @@
     const Event event = std::move(told_.front());
     told_.pop_front();
     actions_.clear();
+    module_told_ = now_;
     module_.handle(now_, event, actions_);
     for (std::size_t i = 0; i < actions_.size(); ++i) {
       std::visit([this](const auto& action) { apply(action); }, actions_[i]);
@@ -577,7 +580,7 @@
   if (query.state.is(QueryState::open)) {
     if (!overfull) return;
     query.state.go(QueryState::streaming, "answer is larger than what is kept");
-    tell(AnswerStarted{query.id});
+    if (!seeded(Defect::streamed_query_is_repeated)) tell(AnswerStarted{query.id});
   }
   deliver(event.link, *link, query);
   rest_if_full(event.link, *link, sessions_.at(query.session));
@@ -713,13 +716,11 @@
         const QueryRecord& query = queries_.at(id);
         const bool harmless = std::all_of(query.attempts.begin(), query.attempts.end(),
                                           [](const AttemptRecord& a) { return a.never_ran(); });
+        const bool lie = seeded(Defect::leaving_calls_all_harmless);
+        answer(queries_.at(id), harmless || lie ? AnswerKind::refused : AnswerKind::failed,
+               harmless || lie ? Repeatable::harmless : Repeatable::unknown, {}, true);
         tell(ClientLeft{id});
         drain();
-        if (QueryRecord* still = find_query(id); still != nullptr && !still->over()) {
-          const bool lie = seeded(Defect::leaving_calls_all_harmless);
-          answer(*still, harmless || lie ? AnswerKind::refused : AnswerKind::failed,
-                 harmless || lie ? Repeatable::harmless : Repeatable::unknown, {}, true);
-        }
       }
       leave_if_done();
       break;
@@ -749,9 +750,11 @@
   for (const auto& [id, query] : queries_)
     for (const AttemptRecord& a : query.attempts) c.attempts_out += a.out() ? 1 : 0;
   c.links = links_.size();
+  for (const auto& [id, link] : links_) c.links_probing += link.use == LinkUse::probe ? 1 : 0;
   for (const auto& [id, pool] : pools_) c.links_idle += pool.idle().size();
   c.bytes_buffered = buffered_;
-  c.timers = timers_.size() + module_timers_.size();
+  c.own_timers = timers_.size();
+  c.timers = c.own_timers + module_timers_.size();
   return c;
 }
 
@@ -827,14 +830,12 @@
     w.name(Name::session, q.session);
     w.wholes(q.class_index, q.priority, q.state.state());
     w.number(q.memory_mb);
-    w.since(q.arrived);
-    w.until(q.arrived + q.patience);
+    w.until(q.arrived + q.patience);  // when it came, and when attempts began, is for accounts only
     w.list(q.attempts, [&](AttemptRecord& a) {
       w.name(Name::engine, a.engine);
       w.wholes(a.state.state(), a.link.has_value(), a.result.has_value(), a.spoiled);
       if (a.result) w.wholes(*a.result);
       if (a.link) w.name(Name::link, *a.link);
-      if (a.out()) w.since(a.began);
     });
   });
   timers_.each([&](TimePoint at, const Timer& timer) {
@@ -851,7 +852,9 @@
     w.wholes(timer.second);
   });
   w.wholes(buffered_, open_queries_, leaving_, left_);
+  v.behind(static_cast<double>((now_ - module_told_).count()) * 1e-9);
   module_.visit(v);
+  v.behind(0);
 }
 
 }  // namespace paddlestand::core
--- a/src/core/conductor.hpp
+++ b/src/core/conductor.hpp
@@ -25,9 +25,9 @@
 
 struct Counts {
   std::size_t sessions = 0, queries_open = 0, attempts_out = 0;
-  std::size_t links = 0, links_idle = 0;
+  std::size_t links = 0, links_idle = 0, links_probing = 0;
   std::size_t bytes_buffered = 0;
-  std::size_t timers = 0;
+  std::size_t timers = 0, own_timers = 0;  // all; those that are not the module's
 };
 
 class Conductor {
@@ -40,6 +40,7 @@
   // When TimeCame is wanted next, if at all.
   [[nodiscard]] std::optional<TimePoint> due() const;
 
+  [[nodiscard]] TimePoint now() const { return now_; }  // of the last event
   [[nodiscard]] Counts counts() const;
 
   // Throws where the ledger contradicts itself: for tests, the explorer and builds with assertions.
@@ -109,7 +110,7 @@
 
   std::shared_ptr<const CoreSettings> settings_;  // never changed: copies have them together
   WorkloadManager module_;
-  TimePoint now_{};
+  TimePoint now_{}, module_told_{};  // the last event; the module's last
   std::vector<Effect>* out_ = nullptr;
 
   std::deque<Event> told_;  // to the module, in order; empty between two events of the host
--- a/src/core/promises.cpp
+++ b/src/core/promises.cpp
@@ -434,6 +434,17 @@
   queries_.erase(found);
 }
 
+bool Promises::rest_ends_while_out(TimePoint from, TimePoint to) const {
+  for (const auto& [key, rest] : rests_) {
+    const auto line = lines_.find(key);
+    if (rest.until <= from || rest.until > to || line == lines_.end()) continue;
+    for (const QueryId id : line->second)
+      if (const auto query = queries_.find(id); query != queries_.end() && query->second.any_out())
+        return true;
+  }
+  return false;
+}
+
 // ---- State ----
 
 void Promises::visit(StateVisitor& v) {
@@ -442,11 +453,12 @@
     w.name(Name::query, id);
     w.name(Name::session, q.session);
     w.wholes(q.class_index, q.key, q.answered, q.let_go, q.delivered, q.delivered_of);
-    w.since(q.arrived);
+    w.until(q.arrived + q.patience);
+    const bool dated = class_of(q).repeat == Repeat::keyed;  // nothing else hangs on when it was sent
     w.list(q.attempts, [&](Attempt& a) {
       w.name(Name::engine, a.engine);
       w.wholes(a.handed, a.out, a.turned_away, a.bytes, a.complete);
-      w.since(a.sent);
+      if (dated) w.since(a.sent);
     });
   });
   w.table(links_, [&](LinkId id, Link& l) {
@@ -466,8 +478,8 @@
     w.until(rest.until);
     if (rest.until > now_) w.name(Name::query, rest.of);
   });
-  w.list(taken_, [&](TimePoint at) { w.since(at); });
-  w.list(further_, [&](TimePoint at) { w.since(at); });
+  w.list(taken_, [&](TimePoint at) { w.counted(at); });
+  w.list(further_, [&](TimePoint at) { w.counted(at); });
 }
 
 }  // namespace paddlestand::core
--- a/src/core/promises.hpp
+++ b/src/core/promises.hpp
@@ -64,6 +64,9 @@
 
   void visit(StateVisitor& visitor);
 
+  // Whether a key's rest ends within (from, to] while an attempt of that key is out.
+  [[nodiscard]] bool rest_ends_while_out(TimePoint from, TimePoint to) const;
+
   static constexpr std::size_t most_breaches = 16;
 
  private:
--- a/src/core/seeded.hpp
+++ b/src/core/seeded.hpp
@@ -40,6 +40,7 @@
   advice_too_long,
   pending_send_goes_out,
   broken_link_told_as_ended,
+  connect_time_forgotten,
   // Of how effects are carried out.
   sent_told_behind_others,
   cancel_strikes_newest_link,
@@ -81,6 +82,7 @@
     "advice_too_long",
     "pending_send_goes_out",
     "broken_link_told_as_ended",
+    "connect_time_forgotten",
     "sent_told_behind_others",
     "cancel_strikes_newest_link",
     "discard_not_carried_out",
--- a/src/core/walk.hpp
+++ b/src/core/walk.hpp
@@ -46,6 +46,10 @@
     double relative = static_cast<double>((at - now_).count()) * 1e-9;
     v_.until(relative);
   }
+  void counted(TimePoint at) const {
+    double relative = static_cast<double>((at - now_).count()) * 1e-9;
+    v_.counted(relative);
+  }
   void name(StateVisitor::Name kind, std::uint64_t id) const { v_.name(kind, id); }
 
   template <typename Map, typename Each>
@@ -54,6 +58,13 @@
     for (auto& [key, one] : all) v_.entry(), each(key, one);
     v_.end();
   }
+  // In no order that matters.
+  template <typename List, typename Each>
+  void set(List& all, Each each) const {
+    v_.table(all.size(), false);
+    for (auto&& one : all) v_.entry(), each(one);
+    v_.end();
+  }
   template <typename List, typename Each>
   void list(List& all, Each each) const {
     v_.table(all.size(), true);
--- a/src/workload_manager.cpp
+++ b/src/workload_manager.cpp
@@ -1093,7 +1093,7 @@
 
 void WorkloadManager::Impl::visit(StateVisitor& v) {
   v.clock(now_);
-  const auto times = [&](std::deque<double>& all) { list(v, all, [&](double& at) { v.since(at); }); };
+  const auto times = [&](std::deque<double>& all) { list(v, all, [&](double& at) { v.counted(at); }); };
   list(v, classes_, [&](ClassState& c) { walk(v, c); });
   table(v, engines_, [&](EngineId& id, Engine& e) {
     named(v, Name::engine, id);
