--- /dev/null
+++ b/fuzz/engine_list.cpp
@@ -0,0 +1,15 @@
+// Engine lists: whatever the file, a list or one fault.
+#include "config/manager_config.hpp"
+#include "target.hpp"
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
+  using namespace paddlestand;
+  config::ManagerConfig of;
+  of.zones = {{"north", 0}, {"south", 1}};
+  of.kinds = {{"std", 0}};
+  of.core.module.kinds = {{8, 16384}};
+  const auto read = config::read_engine_list(fuzz::as_file(fuzz::text_of(data, size)), of);
+  if (const auto* fault = std::get_if<config::Fault>(&read))
+    if (fault->text().empty()) fuzz::fail("a fault without a text");
+  return 0;
+}
--- /dev/null
+++ b/fuzz/wire.cpp
@@ -0,0 +1,18 @@
+// The bench's wire: frames one after another, whatever they hold; a frame is answered or refused as
+// malformed.
+#include "target.hpp"
+#include "wire_host.hpp"
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
+  using namespace paddlestand;
+  wire::WireHost host;
+  std::span<const std::uint8_t> left(data, size);
+  try {
+    while (left.size() >= wire::batch_header_bytes) {
+      const std::size_t length = std::min(wire::frame_length(left.first(4)), left.size());
+      host.reply_to(left.first(length));
+      left = left.subspan(length);
+    }
+  } catch (const wire::MalformedFrame&) {}
+  return 0;
+}
--- a/lab/explore/history.cpp
+++ b/lab/explore/history.cpp
@@ -22,12 +22,14 @@
     case Act::ask: return 0.003;
     case Act::cancel:
     case Act::leave_client:
+    case Act::break_client:
     case Act::stop_reading: return 0.002;
     case Act::link_up:
     case Act::written: return 1;
     case Act::complete: return 0.4;
     case Act::part:
-    case Act::big_part: return 0.1;
+    case Act::big_part:
+    case Act::part_and_end: return 0.1;
     case Act::read_on:
     case Act::strike:
     case Act::late_end:
--- a/lab/explore/scope.cpp
+++ b/lab/explore/scope.cpp
@@ -41,7 +41,7 @@
   s.module.longest_retry_advice = 500ms;
   s.module.most_attempts = 3;
   s.module.answer_slack = 20ms;
-  s.module.drain_grace = 100ms;
+  s.module.drain_grace = 30ms;  // shorter than a connect may take
   s.module.order_settle = 100ms;
   s.module.cold_share = 0.3;
   s.module.cold_time = 400ms;
@@ -128,10 +128,18 @@
                          scope_of("defects: two of a key", {turn, next_turn}, 1, 1),
                          scope_of("defects: one after the other", {safe, unsafe}, 1, 1),
                          scope_of("defects: two clients", {safe, next}, 1, 1),
-                         scope_of("defects: two faults", {unsafe}, 1, 2)};
+                         scope_of("defects: two faults", {unsafe}, 1, 2),
+                         scope_of("defects: two engines", {turn, next_turn}, 2, 1)};
+  all.push_back(scope_of("defects: a slow reader", {safe}, 1, 1));
+  all.back().big_parts = 3;
+  all.push_back(scope_of("defects: pipelined", {safe, turn, next_turn}, 1, 1));
+  all.back().pipelined = true;
   // A budget that one query can use up.
   all.push_back(scope_of("defects: no further attempt", {safe}, 2, 2));
   all.back().core.module.attempt_budget = AttemptBudget{0, 0, std::chrono::seconds(2)};
+  // One that has just started can take one query, not two.
+  all.push_back(scope_of("defects: a cold engine", {safe, next}, 1, 1));
+  all.back().core.module.cold_share = 0.0079;
   for (Scope& scope : all) spread(scope);
   return all;
 }
--- a/lab/explore/scope.hpp
+++ b/lab/explore/scope.hpp
@@ -28,6 +28,7 @@
   std::uint32_t zones = 1;  // engines are spread over them in turn
   std::uint32_t managers = 1;
   bool endless = false;  // clients ask on and on, what follows from the number of the request
+  bool pipelined = false;  // a client's next request is taken in the turn of its last answer
   std::uint32_t faults = 1;  // that a history may hold
   std::uint32_t big_parts = 1;  // of an answer
   core::CoreSettings core;
--- a/lab/explore/world.cpp
+++ b/lab/explore/world.cpp
@@ -19,19 +19,18 @@
 constexpr Duration near =
     100us;  // what falls due so soon is next, whatever else has moved by some just_before
 constexpr Duration lateness = 10ms;  // less than the module's margin: later a host may break promises
-constexpr Duration leave_grace = 100ms;
+constexpr Duration leave_grace = 250ms;
 constexpr int most_quiet_ticks = 400;
 constexpr std::size_t small_part = 300, big_part = 1500, last_part = 10;
 constexpr TimePoint beginning = 1h;
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(Act::count)> act_names{
-    "ask",       "cancel",      "leave_client",  "stop_reading", "read_on",
-    "link_up",   "refused",     "no_descriptor", "lost",         "broken",
-    "written",   "part",        "big_part",      "complete",     "complete_unclean",
-    "failed",    "full",        "note",          "strike",       "late_end",
-    "late_note", "deaf",        "hears",         "drain",        "gone",
-    "back",      "list_failed", "wait",          "reach",        "late",
-    "fire",      "shutdown"};
+    "ask",     "cancel",   "leave_client",  "stop_reading", "break_client",     "read_on",
+    "link_up", "refused",  "no_descriptor", "lost",         "broken",           "written",
+    "part",    "big_part", "part_and_end",  "complete",     "complete_unclean", "failed",
+    "full",    "note",     "strike",        "late_end",     "late_note",        "deaf",
+    "hears",   "drain",    "gone",          "back",         "list_failed",      "wait",
+    "reach",   "late",     "fire",          "shutdown"};
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(Case::count)> case_names{
     "a late answer after a resend",
@@ -56,6 +55,7 @@
     case Act::cancel:
     case Act::leave_client:
     case Act::stop_reading:
+    case Act::break_client:
     case Act::refused:
     case Act::no_descriptor:
     case Act::lost:
@@ -147,8 +147,18 @@
     LinkSide* link = w_.find(m_, effect.link);
     if (link == nullptr) return core::Written::failed;
     Seen& seen = site_.queries[effect.query];
+    if (seen.reset) w_.mark(Case::resend_after_reset);
     ++seen.attempts;
     ++seen.out;
+    // What the engine has of another of its key may still run there, whatever the manager makes of it.
+    for (const LinkSide& other : site_.links) {
+      const auto of = site_.queries.find(other.query);
+      const bool runs = other.closed && other.flight == Flight::whole && other.query != effect.query;
+      if (runs && seen.cls == Class::in_turn && of != site_.queries.end() &&
+          of->second.cls == Class::in_turn && of->second.key == seen.key)
+        w_.breach(Promise::order, "query " + std::to_string(effect.query) + " is sent at once while query " +
+                                      std::to_string(other.query) + " of its key may run");
+    }
     link->query = effect.query;
     link->parts = link->big_parts = link->notes = 0;
     const bool deaf = w_.engines_[link->engine - 1].deaf;
@@ -190,6 +200,7 @@
                                    [&](const LinkSide& one) { return one.id == effect.link; });
     if (link == site_.links.end() || seeded(Defect::close_not_carried_out)) return;
     w_.tells("link " + std::to_string(effect.link) + " closes");
+    if (link->cancel) w_.mark(Case::late_cancel);  // it will find nothing
     if (link->flight != Flight::nothing && !link->probe) {
       end_out(link->query);
       link->closed = true;
@@ -248,9 +259,23 @@
     Client& client = site_.clients[seen.client];
     if (client.query == effect.query) client.query = 0;
     if (client.untaken == 0) client.reads = true;  // it has all: how it reads is the next query's matter
+    if (effect.kind == core::AnswerKind::cancelled && client.here && client.cancel_of != effect.query)
+      w_.breach(Promise::own_cancel, text + " is cancelled, and its client asked for another's cancel");
+    // As the service does: what was pipelined is taken, then the answer is written, which shows a broken
+    // client.
+    if (w_.scope_->pipelined && client.here && client.query == 0 &&
+        w_.id_of(m_, seen.client, client.asked) != 0 && client.untaken <= w_.scope_->core.client_window)
+      w_.ask(m_, seen.client);
+    if (client.broken && client.here) {
+      client.here = false;
+      client.untaken = 0;
+      client.query = 0;
+      w_.tell(m_, core::SessionClosed{session_of(site_, seen.client)});
+    }
     // Its time was up while a further attempt's link was opening.
-    if (effect.time_up && effect.attempts.size() > 1 && !effect.attempts.back().result && seen.out == 0)
-      w_.mark(Case::deadline_between_resend_and_connect);
+    const bool connecting = effect.attempts.size() > 1 && effect.attempts.size() > seen.attempts &&
+                            effect.attempts.back().result.value_or(Result::moot) == Result::moot;
+    if (effect.time_up && connecting) w_.mark(Case::deadline_between_resend_and_connect);
   }
   void carry_out(const core::Remark& effect) override { w_.tells("remark: " + effect.text); }
   void carry_out(const core::Left&) override { w_.tells("the manager has left"); }
@@ -379,6 +404,7 @@
     if (client.query != 0 || (client.asked > 0 && more)) out.push_back({Act::cancel, m, c});
     if (client.query != 0 || client.untaken > 0) out.push_back({Act::leave_client, m, c});
     if (client.reads && client.query != 0) out.push_back({Act::stop_reading, m, c});
+    if (scope_->pipelined && !client.broken && client.query != 0) out.push_back({Act::break_client, m, c});
     if (!client.reads && client.untaken > 0) out.push_back({Act::read_on, m, c});
   }
 }
@@ -411,7 +437,10 @@
       continue;
     }
     if (link.parts == 0 && link.big_parts == 0) add(Act::part);
-    if (link.parts == 0 && link.big_parts < scope_->big_parts) add(Act::big_part);
+    if (link.parts == 0 && link.big_parts < scope_->big_parts) {
+      add(Act::big_part);
+      add(Act::part_and_end);
+    }
     if (link.parts == 0 && link.big_parts == 0) add(Act::full);
     add(Act::complete);
     add(Act::complete_unclean);
@@ -632,6 +661,7 @@
       case Act::ask: ask(m, subject); break;
       case Act::cancel: {
         Client& client = site.clients[subject];
+        client.cancel_of = client.query;
         if (client.query == 0 && seeded(Defect::cancel_kept_for_the_next)) client.cancel_kept = true;
         tell(m, core::CancelAsked{session_of(site, subject)});
         break;
@@ -645,9 +675,11 @@
         client.here = false;
         client.query = 0;
         client.untaken = 0;
+        client.broken = false;
         tell(m, core::SessionClosed{session_of(site, subject)});
         break;
       }
+      case Act::break_client: site.clients[subject].broken = true; break;
       case Act::stop_reading: site.clients[subject].reads = false; break;
       case Act::read_on: {
         Client& client = site.clients[subject];
@@ -672,11 +704,10 @@
         const bool carried = link->flight != Flight::nothing && !link->probe;
         const QueryId query = link->query;
         if (carried) Carrier(*this, m).end_out(query);
+        if (carried) site.queries[query].reset = true;
         link->flight = Flight::nothing;
         const auto why = move.act == Act::lost ? core::LinkLoss::closed : core::LinkLoss::broken_protocol;
-        const std::uint8_t before = carried ? site.queries[query].attempts : std::uint8_t{0};
         tell(m, core::LinkLost{link->id, why});
-        if (carried && site.queries[query].attempts > before) mark(Case::resend_after_reset);
         break;
       }
       case Act::written:
@@ -691,6 +722,16 @@
         tell(m, core::AnswerPart{link->id, move.act == Act::part ? small_part : big_part});
         break;
       }
+      case Act::part_and_end: {
+        const QueryId query = link->query;
+        link->kept.push_back({query, link->id, static_cast<std::uint8_t>(link->parts + link->big_parts)});
+        ++link->big_parts;
+        tell(m, core::AnswerPart{link->id, big_part});
+        link = find(m, subject);
+        if (link != nullptr && link->flight == Flight::whole && link->query == query)
+          end_answer(m, *link, core::Ending::complete, true);
+        break;
+      }
       case Act::complete: end_answer(m, *link, core::Ending::complete, true); break;
       case Act::complete_unclean: end_answer(m, *link, core::Ending::complete, false); break;
       case Act::failed: end_answer(m, *link, core::Ending::engine_error, true); break;
@@ -702,10 +743,7 @@
       case Act::strike: {
         const QueryId target = link->cancel->first;
         link->cancel.reset();
-        if (link->flight != Flight::whole) {
-          mark(Case::late_cancel);
-          break;
-        }
+        if (link->flight != Flight::whole) break;
         if (link->query != target)
           breach(Promise::own_cancel, "a cancel for query " + std::to_string(target) + " strikes query " +
                                           std::to_string(link->query));
@@ -798,8 +836,9 @@
     site.desk.visit(out);
     out.lag(0);
     const core::Walk w(out, now_);
-    w.list(site.clients,
-           [&](Client& c) { w.wholes(c.here, c.reads, c.asked, c.untaken, c.query, c.cancel_kept); });
+    w.list(site.clients, [&](Client& c) {
+      w.wholes(c.here, c.reads, c.broken, c.asked, c.untaken, c.query, c.cancel_kept, c.cancel_of == c.query);
+    });
     w.table(site.queries, [&](QueryId id, Seen& seen) {
       w.name(core::Name::query, id);
       w.wholes(seen.client, seen.answered, seen.out, seen.rows, seen.rows_of != 0);
@@ -863,6 +902,7 @@
     }
     case Act::cancel: out << "client " << move.subject << " asks for a cancel"; break;
     case Act::leave_client: out << "client " << move.subject << " is gone"; break;
+    case Act::break_client: out << "client " << move.subject << " is gone, and nobody has seen it yet"; break;
     case Act::stop_reading: out << "client " << move.subject << " reads no more"; break;
     case Act::read_on: out << "client " << move.subject << " reads on"; break;
     case Act::link_up: out << "is up"; break;
@@ -873,6 +913,7 @@
     case Act::written: out << "the rest of the query is written"; break;
     case Act::part: out << "part of an answer"; break;
     case Act::big_part: out << "a large part of an answer"; break;
+    case Act::part_and_end: out << "a large part of an answer, and its end in the same read"; break;
     case Act::complete: out << "the answer is whole"; break;
     case Act::complete_unclean: out << "the answer is whole, and the engine holds state"; break;
     case Act::failed: out << "the engine fails"; break;
--- a/lab/explore/world.hpp
+++ b/lab/explore/world.hpp
@@ -32,6 +32,7 @@
   cancel,
   leave_client,
   stop_reading,
+  break_client,  // gone, which is seen at the next write
   read_on,
   // Links; the subject is a link.
   link_up,
@@ -42,6 +43,7 @@
   written,  // the rest of a query
   part,
   big_part,
+  part_and_end,  // in one read: no rest in between is heeded
   complete,
   complete_unclean,
   failed,
@@ -92,7 +94,7 @@
   // Further ones that the search goes through.
   answer_at_a_cancelled_link,
   resend_after_reset,
-  late_cancel,
+  late_cancel,  // the link is closed before it comes
   query_half_written,
   count
 };
@@ -155,13 +157,15 @@
     std::uint32_t untaken = 0;  // bytes
     std::uint32_t seat = 0;  // how often it was taken anew
     QueryId query{};  // under way, or zero
+    QueryId cancel_of{};  // what its last cancel was for
+    bool broken = false;
     bool cancel_kept = false;  // by a seeded defect of the host
   };
   struct Seen {  // a query
     std::uint8_t client = 0;
     Class cls{};
     std::uint64_t key = 0;
-    bool answered = false;
+    bool answered = false, reset = false;
     std::uint8_t attempts = 0, out = 0;  // sent
     std::uint16_t full_of = 0;  // engines that turned it away, as bits
     LinkId rows_of{};  // the link that rows came from
--- a/src/core/conductor.cpp
+++ b/src/core/conductor.cpp
@@ -398,7 +398,7 @@
   if (link.state.is(LinkState::sending)) never_goes_out(id);
   link.state.go(LinkState::closed, "closed");
   timers_.disarm(link.timer);
-  if (!seeded(Defect::kept_bytes_left)) buffered_ -= link.kept;
+  buffered_ -= link.kept;
   if (link.use == LinkUse::query) pools_[link.engine].closed(id);
   act(CloseLink{id});
   links_.erase(id);
@@ -532,7 +532,7 @@
 
 void Conductor::discard(LinkId id, LinkRecord& link) {
   if (link.kept == 0) return;
-  buffered_ -= link.kept;
+  if (!seeded(Defect::kept_bytes_left)) buffered_ -= link.kept;
   link.kept = 0;
   act(Discard{id});
 }
@@ -600,6 +600,11 @@
   QueryRecord& query = queries_.at(*link->query);
   const std::uint32_t index = link->attempt;
   AttemptRecord& attempt = query.attempts[index];
+  // Its last part may have come in the same read as the end: who rests now would rest under the next query.
+  if (link->paused && !seeded(Defect::rest_left_behind)) {
+    link->paused = false;
+    act(ResumeLink{event.link});
+  }
   link->kept += event.bytes;
   buffered_ += event.bytes;
   Result result = Result::served;
@@ -787,6 +792,13 @@
     bytes += link.kept;
     if (link.use == LinkUse::query) ++held[link.engine];
     const bool idle = link.state.is(LinkState::idle);
+    const bool waits = idle || link.state.is(LinkState::opening) || link.state.is(LinkState::cancelling);
+    if (waits && !link.timer) fail_assertion("link", id, "nothing would ever end it");
+    if (link.paused) {
+      const auto session = link.query ? sessions_.find(queries_.at(*link.query).session) : sessions_.end();
+      if (session == sessions_.end() || session->second.untaken == 0)
+        fail_assertion("link", id, "is not read, and no client is slow");
+    }
     if (idle && link.query) fail_assertion("link", id, "idle under an attempt");
     if (link.use == LinkUse::query && !idle && !link.query && !link.state.is(LinkState::opening))
       fail_assertion("link", id, "in use for nothing");
--- a/src/service/session.cpp
+++ b/src/service/session.cpp
@@ -53,7 +53,7 @@
 asio::awaitable<void> Session::read() {
   const auto self = shared_from_this();
   while (!closed_) {
-    if (ending_ || (front_.busy() && front_.waiting() >= most_ahead)) {
+    if (ending_ || ((front_.busy() || crowded_) && front_.waiting() >= most_ahead)) {
       error_code woken;
       co_await wake_.async_wait(asio::redirect_error(asio::use_awaitable, woken));
       if (!closed_ && !ending_) wake_.expires_at(steady_clock::time_point::max());
@@ -86,6 +86,9 @@
   if (pumping_) return;  // an answer came at once, while a request was handed over: the loop below goes on
   pumping_ = true;
   while (!closed_ && !ending_) {
+    // Who pipelines and does not read must not pile up answers beyond its window.
+    crowded_ = !has_room();
+    if (crowded_) break;
     auto event = front_.next();
     out_ += front_.out();
     front_.out().clear();
@@ -104,6 +107,18 @@
   }
   pumping_ = false;
   flush();
+  pump_if_room();
+}
+
+bool Session::has_room() const {
+  return out_.size() + writing_.size() - written_ <= manager_.config().core.client_window;
+}
+
+void Session::pump_if_room() {
+  if (!crowded_ || closed_ || !has_room()) return;
+  crowded_ = false;
+  wake_.cancel();
+  pump();
 }
 
 void Session::deliver(std::string& bytes, bool mid_message) {
@@ -210,10 +225,13 @@
       writing_.swap(out_);
       written_ = 0;
     }
+    pump_if_room();
   }
   writes_ = false;
   std::string().swap(writing_);
+  written_ = 0;
   flush();
+  pump_if_room();
 }
 
 void Session::sweep(steady_clock::time_point now) {
--- a/src/service/session.hpp
+++ b/src/service/session.hpp
@@ -46,6 +46,8 @@
   boost::asio::awaitable<void> read();
   boost::asio::awaitable<void> write_on();
   void pump();
+  [[nodiscard]] bool has_room() const;
+  void pump_if_room();
   void flush();
   void took(std::size_t bytes);
 
@@ -58,6 +60,7 @@
   std::string out_, writing_;
   std::size_t written_ = 0;  // of writing_
   std::size_t untaken_ = 0;  // delivered bytes that are still to be written
+  bool crowded_ = false;  // the next request waits until the client has read
   bool pumping_ = false, writes_ = false, closed_ = false, ending_ = false, mid_message_ = false,
        opened_ = false, leaving_ = false;
   std::chrono::steady_clock::time_point since_, progress_;
