The module told how late its sends may go out; the watch's account bounded without sends

Cause: reading the change again. Attempts are budgeted when decided, but go out up to connect-time later, so two could fall into one window on the way to engines; the key's window was shortened for the same reason outside the module. Settings now have send_delay, and the module takes it off both. The watch dropped old arrivals only when something was sent: where nothing can be, its account grew by every arrival. The desk keeps its list of effects.

--- a/include/paddlestand/workload_manager.hpp
+++ b/include/paddlestand/workload_manager.hpp
@@ -108,6 +108,7 @@
   double fall_multiple{};
   Duration fall_window{};
   Duration order_settle{};
+  Duration send_delay{};  // what is sent may go out so much later: its link must come up first
   std::optional<AttemptBudget> attempt_budget;
 };
 
--- a/lab/explore/world.cpp
+++ b/lab/explore/world.cpp
@@ -192,7 +192,7 @@
       for (LinkSide& other : site_.links)
         if (!other.closed && other.id > link->id) link = &other;
     }
-    link->cancel = {target, true};
+    link->cancel = target;
     w_.tells("cancel sent for link " + std::to_string(link->id));
   }
   void carry_out(const core::ChangeTerms&) override {}
@@ -743,7 +743,7 @@
         tell(m, core::EngineNote{link->id, NoteKind::progress, 0.5});
         break;
       case Act::strike: {
-        const QueryId target = link->cancel->first;
+        const QueryId target = *link->cancel;
         link->cancel.reset();
         if (link->flight != Flight::whole) break;
         if (link->query != target)
@@ -854,7 +854,7 @@
       w.wholes(l.process == engines_[l.engine - 1].process, l.probe, l.up, l.paused, l.closed, l.flight);
       w.wholes(l.parts, l.big_parts, l.notes, l.cancel.has_value());
       if (l.flight != Flight::nothing) w.name(core::Name::query, l.query);
-      if (l.cancel) w.name(core::Name::query, l.cancel->first);
+      if (l.cancel) w.name(core::Name::query, *l.cancel);
       w.list(l.kept, [&](Row& row) { w.wholes(row.query, row.number, row.link == l.id); });
     });
     w.wholes(site.leaving);
--- a/lab/explore/world.hpp
+++ b/lab/explore/world.hpp
@@ -149,7 +149,7 @@
     QueryId query{};  // whose bytes the engine has, while flight is whole; to come, while half
     std::uint8_t parts = 0, big_parts = 0, notes = 0;
     std::vector<Row> kept;  // by the host
-    std::optional<std::pair<QueryId, bool>> cancel;  // under way: for which query
+    std::optional<QueryId> cancel;  // under way: for which query
     TimePoint closed_at{};
   };
   struct Client {
--- a/src/core/conductor.cpp
+++ b/src/core/conductor.cpp
@@ -10,13 +10,11 @@
 namespace {
 
 CoreSettings as_used(CoreSettings settings) {
+  if (!seeded(Defect::connect_time_forgotten)) settings.module.send_delay = settings.connect_time_out;
   if (seeded(Defect::key_rest_forgotten)) settings.module.order_settle = {};
   if (seeded(Defect::budget_off_by_one) && settings.module.attempt_budget)
     settings.module.attempt_budget->floor += 1;
   for (ClassSettings& k : settings.module.classes) {
-    // What the module sends now may go out so much later, once its link is up.
-    if (!seeded(Defect::connect_time_forgotten))
-      k.key_window = std::max(Duration{}, k.key_window - settings.connect_time_out);
     if (seeded(Defect::placement_lost)) k.allowed_zones.reset();
   }
   return settings;
--- a/src/core/desk.cpp
+++ b/src/core/desk.cpp
@@ -24,9 +24,9 @@
   hands.taking(event);
   const TimePoint now = hands.now();
   if (promises_) promises_->told(now, event);
-  std::vector<Effect> effects;
-  conductor_.handle(now, event, effects);
-  for (const Effect& effect : effects) {
+  effects_.clear();
+  conductor_.handle(now, event, effects_);
+  for (const Effect& effect : effects_) {
     if (promises_) promises_->did(now, effect);
     if (const auto* query = std::get_if<SendQuery>(&effect)) {
       sent(query->link, hands.send(*query), hands);
--- a/src/core/desk.hpp
+++ b/src/core/desk.hpp
@@ -70,6 +70,7 @@
 
   Conductor conductor_;
   std::optional<Promises> promises_;
+  std::vector<Effect> effects_;  // of the present turn; kept for its room
   std::deque<CoreEvent> told_;  // bounded by what one event can cause: a few for each of its effects
   bool taking_ = false, stopped_ = false;
 };
--- a/src/core/promises.cpp
+++ b/src/core/promises.cpp
@@ -111,7 +111,9 @@
   asking_[event.session] = event.query;
   deadlines_.emplace(now_ + event.patience, event.query);
   queries_[event.query] = std::move(query);
-  if (s_->module.attempt_budget) taken_.push_back(now_);
+  if (!s_->module.attempt_budget) return;
+  forget_before_window();  // here too: where nothing can be sent, arrivals are all that comes
+  taken_.push_back(now_);
 }
 
 void Promises::on(const LinkUp& event) {
@@ -297,13 +299,16 @@
                                query_text(rest->second.of) + " may still run");
 }
 
+void Promises::forget_before_window() {
+  const TimePoint from = now_ - s_->module.attempt_budget->window;
+  while (!taken_.empty() && taken_.front() < from) taken_.pop_front();
+  while (!further_.empty() && further_.front() < from) further_.pop_front();
+}
+
 void Promises::within_budget(const SendQuery& effect, const Query& query) {
   if (!s_->module.attempt_budget) return;
   const AttemptBudget& budget = *s_->module.attempt_budget;
-  const auto drop = [&](std::deque<TimePoint>& times) {
-    while (!times.empty() && times.front() < now_ - budget.window) times.pop_front();
-  };
-  drop(taken_), drop(further_);
+  forget_before_window();
   if (query.attempts.empty()) return;
   further_.push_back(now_);
   const double allowed = budget.floor + budget.share * static_cast<double>(taken_.size());
@@ -322,8 +327,9 @@
 // The work told, of this manager alone: what all send together is seen only by who sees them all.
 void Promises::spares_cold(const SendQuery& effect, const Query& query, Engine& engine) {
   const Settings& m = s_->module;
-  if (now_ >= engine.warm_at || m.fall_multiple <= 0 || !query.cost) return;
   auto& sends = engine.cold_sends;
+  if (now_ >= engine.warm_at) return sends.clear();
+  if (m.fall_multiple <= 0 || !query.cost) return;
   while (!sends.empty() && sends.front().first < now_ - m.fall_window) sends.pop_front();
   sends.emplace_back(now_, *query.cost);
   Duration work{};
--- a/src/core/promises.hpp
+++ b/src/core/promises.hpp
@@ -140,6 +140,7 @@
   void effect_once(const SendQuery& effect, const Query& query, const Engine& engine);
   void has_its_turn(const SendQuery& effect, const Query& query);
   void within_budget(const SendQuery& effect, const Query& query);
+  void forget_before_window();
   void spares_cold(const SendQuery& effect, const Query& query, Engine& engine);
   void keeps_place(const SendQuery& effect, const Query& query, const Engine& engine);
   void honest(const Answer& effect, const Query& query);
--- a/src/workload_manager.cpp
+++ b/src/workload_manager.cpp
@@ -715,10 +715,10 @@
   bool within_budget(const Request& r) const {
     if (r.attempts.empty() || !s_.attempt_budget) return true;
     const AttemptBudget& b = *s_.attempt_budget;
-    const double window = seconds(b.window);
-    const auto from = std::lower_bound(further_.begin(), further_.end(), now_ - window - budget_edge);
+    const double window = seconds(b.window), edge = budget_edge + seconds(s_.send_delay);
+    const auto from = std::lower_bound(further_.begin(), further_.end(), now_ - window - edge);
     const auto made = static_cast<double>(further_.end() - from);
-    return made + 1 <= b.floor + b.share * taken_lately(window - budget_edge);
+    return made + 1 <= b.floor + b.share * taken_lately(window - edge);
   }
 
   // A repeat of what may have run: only safe classes, or keyed ones where and while the engines drop repeats.
@@ -728,8 +728,8 @@
     const auto first =
         std::find_if(r.attempts.begin(), r.attempts.end(), [](const Attempt& a) { return a.may_have_run; });
     if (first == r.attempts.end()) return true;
-    if (k.repeat == Repeat::unsafe || now_ > first->sent + seconds(k.key_window) - 2 * end_margin_)
-      return false;
+    const double known = seconds(k.key_window) - seconds(s_.send_delay) - 2 * end_margin_;
+    if (k.repeat == Repeat::unsafe || now_ > first->sent + known) return false;
     const EngineEntry& then = engines_.at(first->engine).entry;
     if (k.key_scope == KeyScope::all) return true;
     return then.zone == e.entry.zone && (k.key_scope == KeyScope::zone || then.cell == e.entry.cell);
@@ -926,7 +926,7 @@
     if (now_ >= next_period_) {
       next_period_ = now_ + period - watch_period / 2;
       set_bounds();
-      drop_older(further_, s_.attempt_budget ? 2 * seconds(s_.attempt_budget->window) : 0.0);
+      drop_older(further_, s_.attempt_budget ? 2 * seconds(s_.attempt_budget->window + s_.send_delay) : 0.0);
       std::erase_if(rests_, [&](const auto& rest) { return rest.second < now_; });
       for (auto& [id, e] : engines_) {
         if (now_ >= e.cold_until) e.cold_sends.clear();
--- a/tests/core/conductor_test.cpp
+++ b/tests/core/conductor_test.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include "core/promises.hpp"
 #include "core_desk.hpp"
 
 namespace paddlestand::core::test {
@@ -365,6 +366,69 @@
   EXPECT_THROW(desk.handle(QueryArrived{1, 9, 0, 0, 0, 1s, {}, 0, 0, false}), IllegalTransition);
 }
 
+// A further attempt decided now may go out a connect later: on the way to engines, too, a window holds no
+// more.
+TEST(Conductor, FurtherAttemptsAreCountedWhereALinkComesUpLate) {
+  CoreSettings settings = small_core();
+  settings.module.attempt_budget = AttemptBudget{1, 0, 2s};
+  CoreDesk desk(settings);
+  desk.fleet({entry(1), entry(2), entry(3), entry(4)});
+  desk.ask(1);
+  desk.handle(LinkLost{desk.run(1), LinkLoss::closed});
+  desk.advance(250ms);
+  desk.bring_up();
+  ASSERT_EQ(desk.sends(1), 2U);
+  desk.finish(desk.link_of(1));
+  desk.advance(1850ms);
+  desk.ask(2);
+  desk.handle(LinkLost{desk.run(2), LinkLoss::closed});
+  desk.bring_up();
+  EXPECT_EQ(desk.sends(2), 1U);  // 1.85 s after the other one: given up on at once
+  EXPECT_EQ(desk.answers(2).size(), 1U);
+  desk.advance(300ms);
+  desk.ask(3);
+  desk.handle(LinkLost{desk.run(3), LinkLoss::closed});
+  desk.bring_up();
+  EXPECT_EQ(desk.sends(3), 2U);
+}
+
+// Where nothing can be sent, arrivals are all that a watch hears of: its account must not grow by them.
+TEST(Promises, AccountDoesNotGrowWhileNothingIsSent) {
+  class Entries final : public StateVisitor {
+   public:
+    void clock(double&) override {}
+    void number(double&) override {}
+    void whole(std::uint64_t&) override {}
+    void since(double&) override {}
+    void until(double&) override {}
+    void name(Name, std::uint64_t&) override {}
+    void generator(std::mt19937_64&) override {}
+    std::size_t table(std::size_t entries, bool) override {
+      all += entries;
+      return entries;
+    }
+    void entry() override {}
+    void end() override {}
+    std::size_t all = 0;
+  };
+  CoreSettings settings = small_core();
+  settings.module.attempt_budget = AttemptBudget{1, 0, 1s};
+  Promises watch(settings);
+  for (QueryId id = 1; id <= 1000; ++id) {
+    const TimePoint now = 1h + static_cast<int>(id) * 100ms;
+    watch.told(now, QueryArrived{1, id, 0, 0, 0, 5s, 20ms, 0, 0, false});
+    Answer answer;
+    answer.session = 1;
+    answer.query = id;
+    answer.kind = AnswerKind::refused;
+    watch.did(now, answer);
+  }
+  EXPECT_TRUE(watch.breaches().empty());
+  Entries entries;
+  watch.visit(entries);
+  EXPECT_LE(entries.all, 11U);  // those of the last window
+}
+
 TEST(Conductor, SameEventsGiveTheSameEffects) {
   const auto play = [] {
     CoreDesk desk;
--- a/tests/service/hard_cases_test.cpp
+++ b/tests/service/hard_cases_test.cpp
@@ -221,6 +221,25 @@
   EXPECT_TRUE(manager.quiet());
 }
 
+TEST(HardCase, AClientThatPipelinesAndDoesNotReadIsOwedOneWindow) {
+  Engine engine;
+  Served manager(settings({engine->port()}, "<buffers answer=\"64KiB\" client=\"256KiB\" total=\"64MiB\"/>"));
+  RawClient slow(manager.port()), quick(manager.port());
+  constexpr int asked = 400;  // 20 MB of answers, each small enough to be kept whole
+  std::string many;
+  for (int i = 0; i < asked; ++i)
+    pg::put_query(many,
+                  "select 1 /*deadline_ms='60000',sim_work_ms='0.01',sim_rows='50',sim_row_bytes='1000'*/");
+  slow.send(many);
+  ASSERT_TRUE(comes_true([&] { return manager.counts().bytes_buffered > 200 * 1024; }));
+  for (int i = 0; i < 200; ++i) {
+    ASSERT_EQ(quick.ask("select 1"), "TDCZ");
+    EXPECT_LT(manager.counts().bytes_buffered, 400U * 1024);
+  }
+  for (int i = 0; i < asked; ++i) ASSERT_EQ(slow.answer().size(), 53U) << i;
+  EXPECT_TRUE(manager.quiet());
+}
+
 TEST(HardCase, EngineRefusesConnectionsOrNeverSpeaks) {
   Engine refuses, mute, good;
   refuses.command("refuse");
