--- a/src/core/desk.hpp
+++ b/src/core/desk.hpp
@@ -53,6 +53,8 @@
 
   // Takes an event now, or after those that wait.
   void tell(CoreEvent event, Hands& hands);
+  // Whether an event is being taken, so that a further one would wait.
+  [[nodiscard]] bool taking() const { return taking_; }
   // From here on nothing is taken any more.
   void stop() { stopped_ = true; }
 
--- a/src/service/manager.cpp
+++ b/src/service/manager.cpp
@@ -90,8 +90,9 @@
 // ---- The core ----
 
 void Manager::tell(core::CoreEvent event) {
+  const bool first = !desk_.taking();
   desk_.tell(std::move(event), *this);
-  arm();
+  if (first) arm();  // once a turn: what is due in its middle may not be at its end
 }
 
 void Manager::tell_end(const core::AnswerEnd& event, const pg::LinkAnswerEnd& end) {
