--- a/adapter/wire_host.cpp
+++ b/adapter/wire_host.cpp
@@ -8,9 +8,13 @@
 #include <optional>
 #include <utility>
 
-#include "settings_parser.hpp"
+#include "config/settings_parser.hpp"
 
 namespace paddlestand::wire {
+using config::parse_settings;
+using config::ParsedSettings;
+using config::told_attempt_bytes;
+
 namespace {
 
 static_assert(std::endian::native == std::endian::little, "the wire is little-endian");
--- a/apps/commands.hpp
+++ b/apps/commands.hpp
@@ -12,5 +12,6 @@
 
 void add_day(CLI::App& app, int& result);
 void add_explore(CLI::App& app, int& result);
+void add_platform(CLI::App& app, int& result);
 
 }  // namespace paddlestand::app
--- a/apps/paddlestand.cpp
+++ b/apps/paddlestand.cpp
@@ -128,8 +128,11 @@
   verifier->add_option("user", user, "The user's name")->required();
   verifier->callback([&] { result = app::make_verifier(user); });
 
+  app::add_platform(app, result);
+#ifdef PADDLESTAND_LAB
   app::add_day(app, result);
   app::add_explore(app, result);
+#endif
   app.add_subcommand("version", "Print the version")->callback([] { std::cout << "paddlestand 0.2.0\n"; });
 
   try {
--- a/src/config/manager_config.hpp
+++ b/src/config/manager_config.hpp
@@ -8,6 +8,7 @@
 
 #include "core/classify.hpp"
 #include "core/types.hpp"
+#include "observe/log_config.hpp"
 #include "xml.hpp"
 
 namespace paddlestand::config {
@@ -39,13 +40,6 @@
   friend bool operator==(const EngineLogin&, const EngineLogin&) = default;
 };
 
-struct LogConfig {
-  std::string level = "info", file = "-", format = "json";
-  std::size_t most_bytes = 64U << 20U;
-  std::uint32_t files = 4;
-  bool answers = true;
-};
-
 struct ManagerConfig {
   std::string name;
   ListenConfig listen;
@@ -55,7 +49,7 @@
   std::vector<ListedEngine> engines;
   std::string engines_file;  // absolute, or empty
   Duration engines_poll{};
-  LogConfig log;
+  observe::LogConfig log;
   Duration leave_grace = std::chrono::seconds(5);
   std::map<std::string, std::uint32_t> zones, kinds;  // by name: needed to read an engine list
 };
--- a/adapter/settings_parser.cpp
+++ b/src/config/settings_parser.cpp
@@ -1,11 +1,11 @@
-#include "settings_parser.hpp"
+#include "config/settings_parser.hpp"
 
 #include <charconv>
 #include <cmath>
 #include <limits>
 #include <map>
 
-namespace paddlestand::wire {
+namespace paddlestand::config {
 namespace {
 
 constexpr std::size_t most_items = 4096;  // more classes, kinds or tenants than this are taken for damage
@@ -237,4 +237,4 @@
   return parsed;
 }
 
-}  // namespace paddlestand::wire
+}  // namespace paddlestand::config
--- a/adapter/settings_parser.hpp
+++ b/src/config/settings_parser.hpp
@@ -8,7 +8,7 @@
 
 #include "paddlestand/workload_manager.hpp"
 
-namespace paddlestand::wire {
+namespace paddlestand::config {
 
 inline constexpr std::size_t told_attempt_bytes = 3;  // mark of the engine (2), threads and memory (1)
 
@@ -20,4 +20,4 @@
 // The settings, or a plain message on what cannot be read. Unknown keys are skipped.
 std::variant<ParsedSettings, std::string> parse_settings(std::string_view text);
 
-}  // namespace paddlestand::wire
+}  // namespace paddlestand::config
--- a/src/core/conductor.cpp
+++ b/src/core/conductor.cpp
@@ -613,6 +613,7 @@
       break;
     case Ending::engine_error: result = Result::engine_error; break;
     case Ending::full: result = Result::full; break;
+    case Ending::expired: result = Result::moot; break;
     case Ending::cancelled: result = Result::cancelled; break;
   }
   if (result == Result::served && !query.over()) {
--- a/src/core/promises.cpp
+++ b/src/core/promises.cpp
@@ -148,7 +148,7 @@
   if (Query* query = find(link.query)) {
     Attempt& attempt = query->attempts[link.attempt];
     attempt.bytes += event.bytes;
-    attempt.turned_away = event.ending == Ending::full;
+    attempt.turned_away = event.ending == Ending::full || event.ending == Ending::expired;
     attempt.complete = event.ending == Ending::complete;
   }
   ended(link, event.ending == Ending::cancelled);
--- a/src/core/types.hpp
+++ b/src/core/types.hpp
@@ -28,6 +28,7 @@
   complete,  // the whole answer came; an error that the statement itself deserved is one too
   engine_error,  // the engine failed it; it may have run
   full,  // turned away before it ran
+  expired,  // its time was over before the engine began: it never ran
   cancelled,  // the engine says that it stopped it
 };
 
--- a/src/observe/log.cpp
+++ b/src/observe/log.cpp
@@ -31,7 +31,7 @@
   return names[static_cast<std::size_t>(result)];
 }
 
-Log::Log(const config::LogConfig& config, std::string manager)
+Log::Log(const LogConfig& config, std::string manager)
     : manager_(std::move(manager)), json_(config.format == "json"), answers_(config.answers) {
   spdlog::sink_ptr sink;
   if (config.file == "-") {
--- a/src/observe/log.hpp
+++ b/src/observe/log.hpp
@@ -10,14 +10,14 @@
 #include <string>
 #include <string_view>
 
-#include "config/manager_config.hpp"
 #include "core/types.hpp"
+#include "log_config.hpp"
 
 namespace paddlestand::observe {
 
 class Log {
  public:
-  Log(const config::LogConfig& config, std::string manager);
+  Log(const LogConfig& config, std::string manager);
   ~Log();
   Log(const Log&) = delete;
   Log& operator=(const Log&) = delete;
--- /dev/null
+++ b/src/platform/client.cpp
@@ -0,0 +1,232 @@
+#include "client.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "platform.hpp"
+
+namespace paddlestand::platform {
+namespace asio = boost::asio;
+using boost::system::error_code;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t most_open = 32;  // requests on one connection, as the protocol has it
+constexpr std::size_t most_line = 96 * 1024;  // bytes of a request; the largest statement in base64 fits
+constexpr std::size_t read_at_once = 64 * 1024;  // bytes of one client in one turn of the loop
+constexpr auto silent_life = 2s;  // without a whole message, from the start
+constexpr auto idle_life = 6s;  // without an open request: clients close theirs after 4 s
+constexpr auto write_stall = 4s;  // a client that reads nothing
+constexpr auto half_line = 2s;  // for the rest of a message that began
+
+bool would_block(const error_code& error) {
+  return error == asio::error::would_block || error == asio::error::try_again;
+}
+
+}  // namespace
+
+Client::Client(Platform& platform, tcp::socket socket, std::uint64_t number)
+    : platform_(platform), socket_(std::move(socket)), number_(number), lines_(most_line) {
+  accepted_ = used_ = progress_ = platform.reading();
+  error_code ignored;
+  socket_.set_option(tcp::no_delay(true), ignored);
+  socket_.non_blocking(true, ignored);
+}
+
+void Client::start() {
+  asio::co_spawn(
+      platform_.io(), [self = shared_from_this()] { return self->read(); }, asio::detached);
+}
+
+void Client::close() {
+  if (closed_) return;
+  closed_ = true;
+  error_code ignored;
+  socket_.close(ignored);
+  std::map<std::int64_t, core::SessionId> open;
+  open.swap(open_);
+  for (const auto& [id, session] : open) platform_.let_go(session);
+  platform_.client_gone(*this);
+}
+
+// What was said is sent on before the connection ends; what still comes is not read.
+void Client::end() {
+  ending_ = true;
+  if (out_.size() == written_) close();
+}
+
+asio::awaitable<void> Client::read() {
+  const auto self = shared_from_this();
+  while (!closed_ && !ending_) {
+    error_code error;
+    co_await socket_.async_wait(tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
+    if (closed_ || ending_) co_return;
+    const auto scratch = platform_.scratch().first(read_at_once);
+    std::size_t got = 0;
+    if (!error) got = socket_.read_some(asio::buffer(scratch.data(), scratch.size()), error);
+    if (would_block(error)) continue;
+    if (error || got == 0) {
+      close();
+      co_return;
+    }
+    lines_.feed({scratch.data(), got});
+    std::vector<jsonrpc::Message> messages;
+    while (const auto line = lines_.next()) messages.push_back(platform_.calls().read(*line));
+    if (lines_.too_long())
+      messages.push_back(jsonrpc::Problem{{}, jsonrpc::Code::invalid_request, "a message that is too long"});
+    take(std::move(messages));
+    if (closed_ || ending_) co_return;
+    if (!lines_.inside()) {
+      inside_since_.reset();
+    } else if (!inside_since_) {
+      inside_since_ = platform_.reading();
+    }
+    // Who sends without end has its turn, and the others theirs.
+    if (got == read_at_once) co_await asio::post(platform_.io(), asio::use_awaitable);
+  }
+}
+
+std::optional<jsonrpc::Problem> Client::wrong_with(const jsonrpc::Query& query) const {
+  const auto wrong = [&](jsonrpc::Code code, const char* text) {
+    return jsonrpc::Problem{query.id, code, text};
+  };
+  if (query.id <= last_id_)
+    return wrong(jsonrpc::Code::invalid_request, "id; wanted: one that this connection has not used");
+  if (platform_.trace_open(query.trace))
+    return wrong(jsonrpc::Code::invalid_params, "trace; wanted: one that is not open");
+  if (open_.size() >= most_open) return wrong(jsonrpc::Code::refused, "at most 32 requests are open at once");
+  return std::nullopt;
+}
+
+void Client::take(std::vector<jsonrpc::Message> messages) {
+  if (messages.empty()) return;
+  used_ = platform_.reading();
+  // All that came together is looked at before any of it is acted on: a client that sends what can't be taken
+  // behind requests in good form, or takes back at once what it asks, costs the engines nothing.
+  std::size_t open = open_.size();
+  for (std::size_t i = 0; i < messages.size(); ++i) {
+    if (const auto* problem = std::get_if<jsonrpc::Problem>(&messages[i]))
+      return turn_away(messages, 0, *problem);
+    open += std::holds_alternative<jsonrpc::Query>(messages[i]) ? 1 : 0;
+    if (std::holds_alternative<jsonrpc::Forget>(messages[i]) && open > 0) --open;
+    if (open > most_open)
+      return turn_away(messages, 0,
+                       {std::nullopt, jsonrpc::Code::refused, "at most 32 requests are open at once"});
+  }
+  spoke_ = true;
+  for (std::size_t i = 0; i < messages.size() && !closed_; ++i) {
+    if (auto* query = std::get_if<jsonrpc::Query>(&messages[i])) {
+      if (const auto wrong = wrong_with(*query)) return turn_away(messages, i, *wrong);
+      last_id_ = query->id;
+      const std::int64_t id = query->id;
+      const core::SessionId session = platform_.next_session();
+      open_.emplace(id, session);
+      platform_.ask(shared_from_this(), session, std::move(*query));
+    } else if (const auto* forget = std::get_if<jsonrpc::Forget>(&messages[i])) {
+      // Letting one go may have others answered at once: nothing points into the table meanwhile.
+      std::vector<core::SessionId> gone;
+      std::erase_if(open_, [&](const auto& one) {
+        const bool meant = forget->request == one.first ||
+                           (forget->trace && platform_.trace_of(one.second) == forget->trace);
+        if (meant) gone.push_back(one.second);
+        return meant;
+      });
+      for (const core::SessionId session : gone) platform_.let_go(session);
+      if (forget->id) jsonrpc::put_done(out_, *forget->id);
+    } else if (const auto* well = std::get_if<jsonrpc::WellAsked>(&messages[i])) {
+      jsonrpc::put_well(out_, well->id, platform_.green());
+    }
+  }
+  flush();
+}
+
+void Client::turn_away(const std::vector<jsonrpc::Message>& messages, std::size_t at,
+                       const jsonrpc::Problem& problem) {
+  platform_.turned_away(*this, problem);
+  for (; at < messages.size() && out_.size() < most_line; ++at) {
+    if (const auto* query = std::get_if<jsonrpc::Query>(&messages[at])) {
+      const bool itself = problem.id == query->id;
+      jsonrpc::put_error(out_, query->id, itself ? problem.code : jsonrpc::Code::refused, problem.text);
+    } else if (const auto* other = std::get_if<jsonrpc::Problem>(&messages[at])) {
+      jsonrpc::put_error(out_, other->id, other->code, other->text);
+    }
+  }
+  std::map<std::int64_t, core::SessionId> open;
+  open.swap(open_);
+  ending_ = true;
+  for (const auto& [id, session] : open) {
+    jsonrpc::put_error(out_, id, jsonrpc::Code::failed, "the connection ends: " + problem.text);
+    platform_.let_go(session);
+  }
+  flush();
+}
+
+void Client::answer(std::int64_t request, std::string line) {
+  if (closed_ || open_.erase(request) == 0) return;
+  used_ = platform_.reading();
+  if (out_.empty()) {
+    out_ = std::move(line);
+  } else {
+    out_ += line;
+  }
+  flush();
+}
+
+void Client::flush() {
+  if (closed_ || writes_) return;
+  if (written_ < out_.size()) {
+    error_code error;
+    written_ += socket_.write_some(asio::buffer(out_) + written_, error);
+    if (error && !would_block(error)) return close();
+    progress_ = platform_.reading();
+    if (written_ < out_.size()) {
+      writes_ = true;
+      asio::co_spawn(
+          platform_.io(), [self = shared_from_this()] { return self->write_on(); }, asio::detached);
+      return;
+    }
+  }
+  std::string().swap(out_);
+  written_ = 0;
+  if (ending_) close();
+}
+
+asio::awaitable<void> Client::write_on() {
+  const auto self = shared_from_this();
+  while (!closed_ && written_ < out_.size()) {
+    error_code error;
+    co_await socket_.async_wait(tcp::socket::wait_write, asio::redirect_error(asio::use_awaitable, error));
+    if (closed_) co_return;
+    std::size_t sent = 0;
+    if (!error) sent = socket_.write_some(asio::buffer(out_) + written_, error);
+    if (would_block(error)) continue;
+    if (error) {
+      close();
+      co_return;
+    }
+    written_ += sent;
+    progress_ = platform_.reading();
+    if (written_ >= most_line) {
+      out_.erase(0, written_);
+      written_ = 0;
+    }
+  }
+  writes_ = false;
+  if (!closed_) flush();
+}
+
+void Client::sweep(TimePoint now) {
+  if (closed_) return;
+  if (!spoke_ && now - accepted_ > silent_life) return close();
+  if (inside_since_ && now - *inside_since_ > half_line && !ending_) {
+    return turn_away({}, 0, {std::nullopt, jsonrpc::Code::parse_error, "the rest of a message did not come"});
+  }
+  if (backlog() > 0 && now - progress_ > write_stall) return close();
+  if (idle() && now - used_ > idle_life) close();
+}
+
+}  // namespace paddlestand::platform
--- /dev/null
+++ b/src/platform/fleet.hpp
@@ -0,0 +1,38 @@
+// The list of engines as the command channel's events make it: which event is new, which was seen before,
+// where one is missing; and the address of every engine that may be talked to. No I/O.
+#pragma once
+
+#include <map>
+#include <optional>
+
+#include "config.hpp"
+
+namespace paddlestand::platform {
+
+class Fleet {
+ public:
+  enum class Taken : std::uint8_t {
+    applied,
+    seen,  // its number is not above the last: passed over
+    gap,  // an event before it is missing: to be asked for
+  };
+
+  // What it changed is in `told`; start times count from 1970.
+  Taken take(const command_channel::Event& event, core::FleetTold& told);
+  // Forgets the addresses of engines that are gone, once nothing can be sent to them any more.
+  void forget_gone();
+
+  [[nodiscard]] std::uint64_t last() const { return last_; }
+  [[nodiscard]] std::optional<Address> address(EngineId engine) const;
+  [[nodiscard]] std::size_t size() const { return engines_.size(); }
+
+ private:
+  struct Engine {
+    Address at;
+    bool gone = false;
+  };
+  std::uint64_t last_ = 0;
+  std::map<EngineId, Engine> engines_;
+};
+
+}  // namespace paddlestand::platform
--- /dev/null
+++ b/src/platform/platform.cpp
@@ -0,0 +1,653 @@
+#include "platform.hpp"
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <cmath>
+#include <cstdio>
+
+namespace paddlestand::platform {
+namespace asio = boost::asio;
+using asio::experimental::awaitable_operators::operator||;
+using boost::system::error_code;
+using std::chrono::steady_clock;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint32_t usual_descriptors = 1024;  // where no limit is told
+constexpr double usual_memory_mb = 256;
+constexpr std::size_t reserve_descriptors = 24;  // the loop's own, the log, the listener, the command channel
+constexpr std::size_t backlog_part = 8;  // of the memory: what clients have not read yet, all together
+constexpr auto descriptor_rest = 50ms;  // after accept() found no descriptor free
+constexpr auto sweep_period = 100ms;
+constexpr auto beat_silence = 2s;  // two beats of the command channel
+constexpr auto follow_connect = 500ms;
+constexpr auto follow_first_rest = 20ms, follow_longest_rest = 250ms;
+constexpr auto arrivals_after_term = 900ms;  // so long requests may still come after SIGTERM
+constexpr auto flush_time = 300ms;  // for last answers, after all is over
+constexpr auto reload_rest = 100ms;  // before a file that can't be read is tried again
+constexpr auto tell_away_each = 1s;
+constexpr std::uint64_t probe_ids = std::uint64_t{0xf1} << 56U;  // apart from most requests' ids
+
+observe::LogConfig log_settings(bool trace) {
+  observe::LogConfig log;
+  log.answers = trace;
+  return log;
+}
+
+boost::asio::ip::tcp::endpoint endpoint_of(const Address& at) {
+  return {asio::ip::address_v4(at.host), at.port};
+}
+
+std::string hex(std::uint64_t value) {
+  char text[17];
+  std::snprintf(text, sizeof(text), "%016llx", static_cast<unsigned long long>(value));
+  return text;
+}
+
+}  // namespace
+
+Platform::Platform(asio::io_context& io, PlatformConfig config, std::string config_path, bool trace)
+    : DeskHost(io, log_settings(trace), config.name, config.core),
+      config_(std::move(config)),
+      config_path_(std::move(config_path)),
+      trace_(trace),
+      calls_(config_.core.module.classes),
+      acceptor_(io),
+      signals_(io, SIGTERM, SIGINT, SIGHUP),
+      follow_rest_(io) {
+  const std::size_t all = config_.limits.descriptors > 0 ? config_.limits.descriptors : usual_descriptors;
+  const std::size_t shared = all > 2 * reserve_descriptors ? all - reserve_descriptors : all / 2;
+  // The usual clients hold a third of all at the most; others are shed first.
+  most_clients_ = shared / 2;
+  most_channels_ = shared - most_clients_;
+  const double memory = config_.limits.memory_mb > 0 ? config_.limits.memory_mb : usual_memory_mb;
+  most_backlog_ = static_cast<std::size_t>(memory * 1048576 / backlog_part);
+}
+
+Platform::~Platform() = default;
+
+void Platform::start() {
+  const tcp::endpoint at = endpoint_of(config_.listen);
+  acceptor_.open(at.protocol());
+  acceptor_.set_option(tcp::acceptor::reuse_address(true));
+  acceptor_.bind(at);
+  acceptor_.listen();
+  listening_ = true;
+  bool gap = false;
+  for (const command_channel::Event& event : config_.known) apply(event, gap);
+  config_.known.clear();
+  told_ = true;
+  asio::co_spawn(io_, accept(), asio::detached);
+  asio::co_spawn(io_, follow(), asio::detached);
+  asio::co_spawn(io_, sweep(), asio::detached);
+  asio::co_spawn(io_, signals(), asio::detached);
+  log_.info("start", "listening on " + text_of(config_.listen) + ", event " + std::to_string(fleet_.last()) +
+                         ", " + std::to_string(fleet_.size()) + " engines, " + std::to_string(most_clients_) +
+                         " clients and " + std::to_string(most_channels_) + " channels at most");
+}
+
+// ---- Clients ----
+
+asio::awaitable<void> Platform::accept() {
+  bool told = false;
+  for (;;) {
+    error_code error;
+    tcp::socket socket = co_await acceptor_.async_accept(asio::redirect_error(asio::use_awaitable, error));
+    if (stopped_ || error == asio::error::operation_aborted) co_return;
+    if (error) {
+      if (!told) log_.warn("accept", error.message() + "; connections wait");
+      told = true;
+      asio::steady_timer rest(io_, descriptor_rest);
+      co_await rest.async_wait(asio::redirect_error(asio::use_awaitable, error));
+      continue;
+    }
+    told = false;
+    if (clients_.size() >= most_clients_ && !make_room()) continue;  // it is closed here
+    const auto client = std::make_shared<Client>(*this, std::move(socket), ++last_client_);
+    clients_.emplace(client->number(), client);
+    client->start();
+  }
+}
+
+// Who never said anything goes first, then who has been idle for longest; nobody with an open request.
+bool Platform::make_room() {
+  std::shared_ptr<Client> worst;
+  for (const auto& [number, client] : clients_) {
+    if (!client->idle()) continue;
+    if (!worst || std::pair(client->spoke(), client->used()) < std::pair(worst->spoke(), worst->used()))
+      worst = client;
+  }
+  if (!worst) return false;
+  ++clients_shed_;
+  worst->close();
+  return true;
+}
+
+std::optional<std::uint64_t> Platform::trace_of(core::SessionId session) const {
+  const auto found = requests_.find(session);
+  if (found == requests_.end()) return std::nullopt;
+  return found->second.trace;
+}
+
+void Platform::ask(const std::shared_ptr<Client>& client, core::SessionId session, jsonrpc::Query query) {
+  Request request;
+  request.client = client;
+  request.id = query.id;
+  request.trace = query.trace;
+  request.class_index = query.class_index;
+  request.until = now() + query.patience;
+  request.nonce = std::move(query.nonce);
+  core::QueryArrived arrived;
+  arrived.session = session;
+  arrived.query = session;
+  arrived.class_index = query.class_index;
+  arrived.order_key = query.order_key;
+  arrived.patience = query.patience;
+  arrived.told_cost = query.cost;
+  arrived.told_memory_mb = query.memory_mb;
+  arrived.tables = sql::table_group(query.statement).value_or(0);
+  arrived.repeated = query.repeated;
+  request.statement = std::move(query.statement);
+  if (trace_)
+    log_.info("came", hex(request.trace) + " query " + std::to_string(session) + " tables " +
+                          std::to_string(arrived.tables) + " bytes " +
+                          std::to_string(request.statement.size()) + " cost_ms " +
+                          std::to_string(arrived.told_cost ? arrived.told_cost->count() / 1000000 : 0) +
+                          " patience_ms " + std::to_string(arrived.patience.count() / 1000000));
+  traces_.insert(request.trace);
+  requests_.emplace(session, std::move(request));
+  tell(core::SessionOpened{session});
+  tell(arrived);
+}
+
+void Platform::let_go(core::SessionId session) {
+  const auto found = requests_.find(session);
+  if (found == requests_.end() || found->second.let_go) return;
+  found->second.let_go = true;
+  tell(core::SessionClosed{session});
+}
+
+void Platform::turned_away(const Client& client, const jsonrpc::Problem& problem) {
+  ++turned_away_;
+  if (now() < told_away_ + tell_away_each) return;
+  told_away_ = now();
+  log_.info("turned away", "client " + std::to_string(client.number()) + ": " + problem.text + "; " +
+                               std::to_string(turned_away_) + " so far");
+}
+
+void Platform::carry_out(const core::Deliver& effect) {
+  const auto stream = streams_.find(effect.link);
+  const auto request = requests_.find(effect.session);
+  if (stream == streams_.end() || request == requests_.end()) return;
+  request->second.body = std::move(stream->second.answer.body());
+}
+
+void Platform::carry_out(const core::Discard& effect) {
+  const auto stream = streams_.find(effect.link);
+  if (stream != streams_.end()) std::string().swap(stream->second.answer.body());
+}
+
+void Platform::carry_out(const core::Answer& effect) {
+  log_.answer(effect, config_.core.module.classes[effect.class_index].name);
+  const auto found = requests_.find(effect.session);
+  if (found == requests_.end()) return;
+  const Request request = std::move(found->second);
+  requests_.erase(found);
+  traces_.erase(request.trace);
+  if (request.let_go) return;
+  tell(core::SessionClosed{effect.session});
+  std::string line;
+  switch (effect.kind) {
+    case core::AnswerKind::served: jsonrpc::put_result(line, request.id, request.body); break;
+    case core::AnswerKind::refused:
+      jsonrpc::put_error(line, request.id, jsonrpc::Code::refused,
+                         effect.leaving ? "the workload manager is leaving" : "refused", effect.retry_after);
+      break;
+    case core::AnswerKind::failed:
+      jsonrpc::put_error(line, request.id, jsonrpc::Code::failed, effect.time_up ? "time is up" : "failed");
+      break;
+    case core::AnswerKind::cancelled: return;
+  }
+  request.client->answer(request.id, std::move(line));
+}
+
+// ---- Engines ----
+
+// An idle channel, the one heard of last; else a new one; else the one with the fewest streams.
+std::shared_ptr<Channel> Platform::channel_for(EngineId engine, core::LinkUse use) {
+  auto& all = channels_[engine];
+  std::shared_ptr<Channel> idle, shared;
+  for (const auto& channel : all) {
+    if (channel->retired() || channel->closed()) continue;
+    if (channel->streams() == 0 && (!idle || channel->heard() > idle->heard())) idle = channel;
+    if (channel->streams() < config_.streams_per_channel &&
+        (!shared || channel->streams() < shared->streams()))
+      shared = channel;
+  }
+  // A probe is to tell whether the engine can be reached: an old channel may hang alone.
+  if (idle && use != core::LinkUse::probe) return idle;
+  const std::size_t engines = std::max<std::size_t>(1, fleet_.size());
+  const std::size_t part = std::max<std::size_t>(2, most_channels_ / engines);
+  if (all.size() < part && (channel_count_ < most_channels_ || shed_idle_channel()))
+    return open_channel(engine);
+  return shared;
+}
+
+std::shared_ptr<Channel> Platform::open_channel(EngineId engine) {
+  const auto at = fleet_.address(engine);
+  if (!at) return nullptr;
+  const auto channel = std::make_shared<Channel>(*this, engine, endpoint_of(*at));
+  channels_[engine].push_back(channel);
+  ++channel_count_;
+  channel->start();
+  return channel;
+}
+
+bool Platform::shed_idle_channel() {
+  std::shared_ptr<Channel> oldest;
+  for (const auto& [engine, all] : channels_) {
+    for (const auto& channel : all)
+      if (channel->streams() == 0 && (!oldest || channel->used() < oldest->used())) oldest = channel;
+  }
+  if (!oldest) return false;
+  drop(oldest);
+  return true;
+}
+
+void Platform::drop(const std::shared_ptr<Channel>& channel) {
+  channel->close();
+  const auto all = channels_.find(channel->engine());
+  if (all == channels_.end()) return;
+  channel_count_ -= std::erase(all->second, channel);
+  if (all->second.empty()) channels_.erase(all);
+}
+
+void Platform::carry_out(const core::OpenLink& effect) {
+  const auto channel = channel_for(effect.engine, effect.use);
+  if (!channel) return tell(core::LinkLost{effect.link, core::LinkLoss::out_of_descriptors});
+  Stream& stream = streams_[effect.link];
+  stream.engine = effect.engine;
+  stream.use = effect.use;
+  stream.channel = channel;
+  channel->join();
+  if (channel->up()) tell(core::LinkUp{effect.link});
+}
+
+void Platform::channel_up(const std::shared_ptr<Channel>& channel) {
+  std::vector<core::LinkId> waiting;
+  for (const auto& [link, stream] : streams_)
+    if (stream.channel == channel && !stream.sent) waiting.push_back(link);
+  std::sort(waiting.begin(), waiting.end());
+  for (const core::LinkId link : waiting) tell(core::LinkUp{link});
+}
+
+void Platform::channel_lost(const std::shared_ptr<Channel>& channel, core::LinkLoss why,
+                            const std::string& what) {
+  std::vector<core::LinkId> on_it;
+  for (const auto& [link, stream] : streams_)
+    if (stream.channel == channel) on_it.push_back(link);
+  std::sort(on_it.begin(), on_it.end());
+  if (why == core::LinkLoss::broken_protocol || trace_)
+    log_.info("channel", "engine " + std::to_string(channel->engine()) + ": " + what + "; " +
+                             std::to_string(on_it.size()) + " streams end");
+  drop(channel);
+  for (const core::LinkId link : on_it) tell(core::LinkLost{link, why});
+}
+
+core::Written Platform::send(const core::SendQuery& effect) {
+  const auto found = streams_.find(effect.link);
+  const auto asked = requests_.find(effect.query);
+  if (found == streams_.end() || asked == requests_.end()) return core::Written::failed;
+  Stream& stream = found->second;
+  const Request& request = asked->second;
+  // One id is one stream on a channel: what came for an earlier attempt must not pass for a later one's.
+  if (stream.channel->closed() || stream.channel->carries(request.trace)) return core::Written::failed;
+  stream.id = request.trace;
+  stream.query = effect.query;
+  stream.sent = true;
+  stream.at = now();
+  std::string frame;
+  engine_frames::Request out;
+  out.id = request.trace;
+  out.class_name = config_.core.module.classes[request.class_index].name;
+  out.token = request.nonce;
+  out.statement = request.statement;
+  out.wait = request.until - stream.at;
+  out.memory_mb = effect.memory_mb;
+  out.rank = effect.priority;
+  engine_frames::put_request(frame, out);
+  if (trace_)
+    log_.info("sent", hex(stream.id) + " query " + std::to_string(effect.query) + " attempt " +
+                          std::to_string(effect.attempt) + " engine " + std::to_string(stream.engine) +
+                          " rank " + std::to_string(effect.priority) + " grant " +
+                          std::to_string(effect.memory_mb));
+  return stream.channel->send(effect.link, stream.id, std::move(frame));
+}
+
+core::Written Platform::send(const core::SendProbe& effect) {
+  const auto found = streams_.find(effect.link);
+  if (found == streams_.end() || found->second.channel->closed()) return core::Written::failed;
+  Stream& stream = found->second;
+  stream.id = probe_ids | ++last_probe_;
+  stream.sent = true;
+  stream.at = now();
+  std::string frame;
+  engine_frames::put_probe(frame, stream.id, !config_.report_names.empty());
+  return stream.channel->send(effect.link, stream.id, std::move(frame));
+}
+
+LoadReport Platform::report_of(const engine_frames::Answer& answer) const {
+  LoadReport report;
+  for (const auto& [name, value] : answer.gauges)
+    if (name == "inflight") report.queries = value;
+  return report;
+}
+
+std::string Platform::answered(Channel& channel, core::LinkId link, engine_frames::Answer answer) {
+  const auto found = streams_.find(link);
+  if (found == streams_.end()) return {};
+  Stream& stream = found->second;
+  if (stream.use == core::LinkUse::probe) {
+    if (answer.code != engine_frames::Reply::well && answer.code != engine_frames::Reply::ill) return {};
+    core::AnswerEnd end;
+    end.link = link;
+    end.ending =
+        answer.code == engine_frames::Reply::well ? core::Ending::complete : core::Ending::engine_error;
+    end.report = report_of(answer);
+    stream.ended = true;
+    channel.forget(stream.id);
+    if (trace_) log_.info("probe", "engine " + std::to_string(stream.engine));
+    tell(end);
+    return {};
+  }
+  stream.at = now();
+  auto step = stream.answer.take(std::move(answer));
+  if (const auto* broken = std::get_if<engine_frames::Broken>(&step)) return broken->what;
+  if (const auto* more = std::get_if<PagedAnswer::More>(&step)) {
+    std::string frames;
+    for (std::uint32_t page = 1; page < more->pages; ++page)
+      engine_frames::put_page_wanted(frames, stream.id, page);
+    channel.send_command(std::move(frames));
+    return {};
+  }
+  const auto* done = std::get_if<PagedAnswer::Done>(&step);
+  if (done == nullptr) return {};
+  const engine_frames::Answer& head = stream.answer.head();
+  if (head.pages > 1) {
+    std::string frame;
+    engine_frames::put_no_more(frame, stream.id);
+    channel.send_command(std::move(frame));
+  }
+  core::AnswerEnd end;
+  end.link = link;
+  end.ending = done->ending;
+  end.bytes = stream.answer.body().size();
+  if (head.work_ms) end.work = Duration{std::llround(*head.work_ms * 1e6)};
+  end.memory_mb = head.memory_mb;
+  end.report = report_of(head);
+  stream.ended = true;
+  channel.forget(stream.id);
+  tell(end);
+  return {};
+}
+
+void Platform::give_up(core::LinkId link, Stream& stream) {
+  if (!stream.sent || stream.ended) return;
+  stream.ended = true;
+  Channel& channel = *stream.channel;
+  if (channel.closed()) return;
+  channel.forget(stream.id);
+  if (channel.withdraw(link)) return;
+  channel.retire();
+  if (stream.use == core::LinkUse::probe) return;
+  std::string frame;
+  stream.answer.paging() ? engine_frames::put_no_more(frame, stream.id)
+                         : engine_frames::put_give_up(frame, stream.id);
+  channel.send_command(std::move(frame));
+}
+
+// The protocol gives up at once and without an answer.
+void Platform::carry_out(const core::CancelOnEngine& effect) {
+  const auto found = streams_.find(effect.link);
+  if (found == streams_.end()) return;
+  give_up(effect.link, found->second);
+  tell(core::LinkLost{effect.link, core::LinkLoss::closed});
+}
+
+void Platform::carry_out(const core::ChangeTerms& effect) {
+  const auto found = streams_.find(effect.link);
+  if (found == streams_.end() || !found->second.sent || found->second.ended) return;
+  std::string frame;
+  engine_frames::put_priority(frame, found->second.id, effect.priority);
+  found->second.channel->send_command(std::move(frame));
+}
+
+void Platform::carry_out(const core::CloseLink& effect) {
+  const auto found = streams_.find(effect.link);
+  if (found == streams_.end()) return;
+  give_up(effect.link, found->second);
+  const auto channel = found->second.channel;
+  streams_.erase(found);
+  channel->leave(now());
+  if (channel->closed() || channel->streams() > 0) return;
+  const bool hangs = !channel->up() && now() - channel->opened() >= config_.core.connect_time_out;
+  if (channel->retired() || hangs || !fleet_.address(channel->engine())) drop(channel);
+}
+
+void Platform::sweep_channels(TimePoint at) {
+  // An idle channel is closed from here, before the engine does: a request must not cross its close.
+  const Duration idle = config_.core.idle_link_life - std::min(config_.core.idle_link_life / 2, Duration(2s));
+  const Duration wait = config_.core.connect_time_out;
+  std::vector<std::shared_ptr<Channel>> stalled, dead;
+  for (const auto& [engine, all] : channels_) {
+    const bool gone = !fleet_.address(engine);
+    for (const auto& channel : all) {
+      if (channel->stalled_since() && at - *channel->stalled_since() > wait) {
+        stalled.push_back(channel);
+      } else if (channel->streams() == 0 &&
+                 (gone || at - channel->used() > idle || (!channel->up() && at - channel->opened() > wait))) {
+        dead.push_back(channel);
+      }
+    }
+  }
+  for (const auto& [link, stream] : streams_) {
+    if (stream.sent && !stream.ended && stream.answer.paging() && at - stream.at > wait &&
+        std::find(stalled.begin(), stalled.end(), stream.channel) == stalled.end())
+      stalled.push_back(stream.channel);
+  }
+  for (const auto& channel : dead) drop(channel);
+  for (const auto& channel : stalled)
+    if (!channel->closed())
+      channel_lost(channel, core::LinkLoss::broken_protocol, "the rest of an answer did not come");
+}
+
+asio::awaitable<void> Platform::sweep() {
+  asio::steady_timer timer(io_);
+  for (;;) {
+    timer.expires_after(sweep_period);
+    error_code error;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
+    if (error || stopped_) co_return;
+    const TimePoint at = now();
+    std::vector<std::shared_ptr<Client>> all;
+    all.reserve(clients_.size());
+    std::size_t backlog = 0;
+    for (const auto& [number, client] : clients_) {
+      all.push_back(client);
+      backlog += client->backlog() + client->held();
+    }
+    for (const auto& client : all) client->sweep(at);
+    while (backlog > most_backlog_) {
+      const auto most = std::max_element(all.begin(), all.end(), [](const auto& a, const auto& b) {
+        return a->backlog() + a->held() < b->backlog() + b->held();
+      });
+      const std::size_t held = (*most)->backlog() + (*most)->held();
+      if (held == 0) break;
+      backlog -= held;
+      log_.warn("backlog", "client " + std::to_string((*most)->number()) + " closed: it holds " +
+                               std::to_string(held) + " bytes");
+      (*most)->close();
+      all.erase(most);
+    }
+    sweep_channels(at);
+  }
+}
+
+// ---- The command channel ----
+
+void Platform::apply(const command_channel::Event& event, bool& gap) {
+  core::FleetTold told;
+  switch (fleet_.take(event, told)) {
+    case Fleet::Taken::seen: return;
+    case Fleet::Taken::gap: gap = true; return;
+    case Fleet::Taken::applied: break;
+  }
+  for (EngineEntry& entry : told.engines)
+    if (entry.started.count() > 0) entry.started = on_loop(entry.started);
+  if (trace_)
+    for (const EngineEntry& entry : told.engines)
+      log_.info("engine", std::to_string(entry.engine) + " state " +
+                              std::to_string(static_cast<int>(entry.state)) + " event " +
+                              std::to_string(event.number));
+  tell(std::move(told));
+  fleet_.forget_gone();
+}
+
+asio::awaitable<void> Platform::follow() {
+  Duration rest{};
+  bool said = false;
+  while (!stopped_) {
+    const std::uint64_t round = follow_round_;
+    const Address at = config_.channel;
+    auto socket = std::make_unique<tcp::socket>(io_);
+    tcp::socket& line = *socket;
+    follows_ = std::move(socket);
+    error_code error;
+    asio::steady_timer limit(io_, follow_connect);
+    const auto raced =
+        co_await (line.async_connect(endpoint_of(at), asio::redirect_error(asio::use_awaitable, error)) ||
+                  limit.async_wait(asio::use_awaitable));
+    bool heard = false;
+    std::string why = raced.index() == 1 ? "no connection" : error.message();
+    if (raced.index() == 0 && !error && round == follow_round_) {
+      std::string cursor;
+      command_channel::put_cursor(cursor, fleet_.last());
+      co_await asio::async_write(line, asio::buffer(cursor),
+                                 asio::redirect_error(asio::use_awaitable, error));
+      command_channel::EventReader reader;
+      std::array<char, 4096> buffer;
+      bool gap = false;
+      while (!error && !gap && round == follow_round_) {
+        limit.expires_after(beat_silence);
+        const auto got = co_await (
+            line.async_read_some(asio::buffer(buffer), asio::redirect_error(asio::use_awaitable, error)) ||
+            limit.async_wait(asio::use_awaitable));
+        if (stopped_) co_return;
+        if (got.index() == 1) {
+          why = "silent";
+          break;
+        }
+        if (error) {
+          why = error.message();
+          break;
+        }
+        reader.feed({buffer.data(), std::get<0>(got)});
+        for (;;) {
+          auto next = reader.next();
+          if (std::holds_alternative<std::monostate>(next)) break;
+          if (const auto* broken = std::get_if<command_channel::Broken>(&next)) {
+            why = broken->what;
+            gap = true;
+            break;
+          }
+          heard = true;
+          if (const auto* event = std::get_if<command_channel::Event>(&next)) apply(*event, gap);
+          if (gap) {
+            why = "an event is missing";
+            break;
+          }
+        }
+      }
+    }
+    follows_.reset();
+    if (stopped_) co_return;
+    if (round != follow_round_) {
+      rest = {};
+      continue;
+    }
+    if (heard || !said) log_.warn("command channel", text_of(at) + ": " + why + "; asked again");
+    said = true;
+    rest = heard ? Duration(follow_first_rest)
+                 : std::min<Duration>(2 * rest + follow_first_rest, follow_longest_rest);
+    follow_rest_.expires_after(rest);
+    co_await follow_rest_.async_wait(asio::redirect_error(asio::use_awaitable, error));
+  }
+}
+
+// ---- Signals ----
+
+asio::awaitable<void> Platform::signals() {
+  for (;;) {
+    error_code error;
+    const int signal = co_await signals_.async_wait(asio::redirect_error(asio::use_awaitable, error));
+    if (error) co_return;
+    signal == SIGHUP ? reload() : leave();
+  }
+}
+
+void Platform::reload() {
+  auto read = read_config(config_path_);
+  if (const auto* problem = std::get_if<Problem>(&read)) {
+    log_.error("reload", problem->text + "; nothing is changed, it is read again soon");
+    if (reload_again_) return;
+    reload_again_ = true;
+    auto timer = std::make_shared<asio::steady_timer>(io_, reload_rest);
+    timer->async_wait([this, timer](const error_code& error) {
+      reload_again_ = false;
+      if (!error && !stopped_) reload();
+    });
+    return;
+  }
+  const auto& fresh = std::get<PlatformConfig>(read);
+  bool gap = false;
+  for (const command_channel::Event& event : fresh.known) apply(event, gap);
+  config_.channel = fresh.channel;
+  // The new channel is asked for all above the last number; the old one is left at once.
+  ++follow_round_;
+  follow_rest_.cancel();
+  if (follows_) {
+    error_code ignored;
+    follows_->close(ignored);
+  }
+  log_.info("reload",
+            "command channel " + text_of(config_.channel) + " from event " + std::to_string(fleet_.last()));
+}
+
+void Platform::leave() {
+  if (terminated_) return;
+  terminated_ = true;
+  log_.info("leave", "requests are taken for a little longer, then what is held is answered");
+  auto timer = std::make_shared<asio::steady_timer>(io_, arrivals_after_term);
+  timer->async_wait([this, timer](const error_code&) {
+    error_code ignored;
+    acceptor_.close(ignored);
+    Duration longest{};
+    for (const ClassSettings& k : config_.core.module.classes) longest = std::max(longest, k.deadline);
+    tell(core::Leave{longest});
+  });
+}
+
+void Platform::carry_out(const core::Left&) {
+  log_.info("left", "nothing is held any more");
+  auto until = std::make_shared<asio::steady_timer>(io_, flush_time);
+  until->async_wait([this, until](const error_code&) { stop(); });
+}
+
+}  // namespace paddlestand::platform
--- /dev/null
+++ b/src/platform/platform.hpp
@@ -0,0 +1,136 @@
+// The workload manager on the platform: the desk between clients that speak JSON-RPC and engines that speak
+// binary frames, its list of engines from the command channel. It owns sockets, clock and signals; what
+// becomes of a query is decided by the module alone.
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+
+#include "channel.hpp"
+#include "client.hpp"
+#include "config.hpp"
+#include "fleet.hpp"
+#include "protocol/sql/tables.hpp"
+#include "service/desk_host.hpp"
+#include "streams.hpp"
+
+namespace paddlestand::platform {
+
+class Platform : public service::DeskHost {
+ public:
+  using tcp = boost::asio::ip::tcp;
+
+  // `config_path` is read again at SIGHUP. `trace`: each attempt and answer is a line of the log.
+  Platform(boost::asio::io_context& io, PlatformConfig config, std::string config_path, bool trace);
+  ~Platform() override;
+
+  // Listens, and begins. Throws boost::system::system_error where the address can't be had.
+  void start();
+
+  void reload();
+  void leave();
+
+  // ---- For clients ----
+
+  [[nodiscard]] TimePoint reading() { return now(); }
+  [[nodiscard]] const jsonrpc::CallReader& calls() const { return calls_; }
+  [[nodiscard]] bool green() const { return listening_ && told_ && !terminated_; }
+  [[nodiscard]] core::SessionId next_session() { return ++last_session_; }
+  [[nodiscard]] bool trace_open(std::uint64_t trace) const { return traces_.contains(trace); }
+  [[nodiscard]] std::optional<std::uint64_t> trace_of(core::SessionId session) const;
+  void ask(const std::shared_ptr<Client>& client, core::SessionId session, jsonrpc::Query query);
+  void let_go(core::SessionId session);  // its client waits no longer
+  void client_gone(const Client& client) { clients_.erase(client.number()); }
+  void turned_away(const Client& client, const jsonrpc::Problem& problem);
+
+  // ---- For channels ----
+
+  void channel_up(const std::shared_ptr<Channel>& channel);
+  void channel_lost(const std::shared_ptr<Channel>& channel, core::LinkLoss why, const std::string& what);
+  // What is wrong with the answer, or nothing.
+  std::string answered(Channel& channel, core::LinkId link, engine_frames::Answer answer);
+
+ private:
+  struct Request {  // one client's request: a session of the core, which asks one query
+    std::shared_ptr<Client> client;
+    std::int64_t id{};
+    std::uint64_t trace{};
+    std::uint32_t class_index{};
+    TimePoint until{};
+    std::string statement, nonce;
+    std::string body;  // of the answer
+    bool let_go = false;
+  };
+  struct Stream {  // a link of the core
+    EngineId engine{};
+    core::LinkUse use{};
+    std::shared_ptr<Channel> channel;
+    std::uint64_t id = 0;
+    bool sent = false, ended = false;
+    core::QueryId query = 0;
+    TimePoint at{};  // sent, or the last page
+    PagedAnswer answer;
+  };
+
+  // The desk's.
+  core::Written send(const core::SendQuery& effect) override;
+  core::Written send(const core::SendProbe& effect) override;
+  void carry_out(const core::OpenLink& effect) override;
+  void carry_out(const core::CancelOnEngine& effect) override;
+  void carry_out(const core::ChangeTerms& effect) override;
+  void carry_out(const core::CloseLink& effect) override;
+  void carry_out(const core::Deliver& effect) override;
+  void carry_out(const core::Discard& effect) override;
+  void carry_out(const core::PauseLink&) override {}  // answers are held whole: no link is slowed
+  void carry_out(const core::ResumeLink&) override {}
+  void carry_out(const core::Answer& effect) override;
+  void carry_out(const core::Left& effect) override;
+  using DeskHost::carry_out;
+
+  boost::asio::awaitable<void> accept();
+  boost::asio::awaitable<void> follow();
+  boost::asio::awaitable<void> sweep();
+  boost::asio::awaitable<void> signals();
+  bool make_room();
+  void apply(const command_channel::Event& event, bool& gap);
+  std::shared_ptr<Channel> channel_for(EngineId engine, core::LinkUse use);
+  std::shared_ptr<Channel> open_channel(EngineId engine);
+  void drop(const std::shared_ptr<Channel>& channel);
+  void give_up(core::LinkId link, Stream& stream);
+  bool shed_idle_channel();
+  void sweep_channels(TimePoint at);
+  LoadReport report_of(const engine_frames::Answer& answer) const;
+
+  PlatformConfig config_;
+  std::string config_path_;
+  bool trace_;
+  jsonrpc::CallReader calls_;
+  tcp::acceptor acceptor_;
+  boost::asio::signal_set signals_;
+  std::unique_ptr<tcp::socket> follows_;  // the command channel
+  std::uint64_t follow_round_ = 0;  // raised when it is to be asked anew
+  boost::asio::steady_timer follow_rest_;
+
+  std::map<std::uint64_t, std::shared_ptr<Client>> clients_;
+  std::unordered_map<core::SessionId, Request> requests_;  // a session asks the query of its own number
+  std::unordered_set<std::uint64_t> traces_;  // of the requests that are open
+  std::unordered_map<core::LinkId, Stream> streams_;
+  std::map<EngineId, std::vector<std::shared_ptr<Channel>>> channels_;
+  std::size_t channel_count_ = 0;
+  Fleet fleet_;
+  std::size_t most_clients_ = 0, most_channels_ = 0;
+  std::size_t most_backlog_ = 0;
+  std::uint64_t last_client_ = 0, last_session_ = 0, last_probe_ = 0;
+  std::uint64_t turned_away_ = 0, clients_shed_ = 0;
+  TimePoint told_away_{};
+  bool listening_ = false, told_ = false, terminated_ = false, reload_again_ = false;
+};
+
+}  // namespace paddlestand::platform
--- /dev/null
+++ b/src/protocol/base64.hpp
@@ -0,0 +1,15 @@
+// Base64 with its usual letters and padding (RFC 4648, section 4).
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace paddlestand {
+
+std::string base64(std::string_view bytes);
+void put_base64(std::string& out, std::string_view bytes);
+// Strict: no white space, no other letters, padded; nothing otherwise.
+std::optional<std::string> from_base64(std::string_view text);
+
+}  // namespace paddlestand
--- /dev/null
+++ b/src/protocol/jsonrpc/boost_json.cpp
@@ -0,0 +1,2 @@
+// Boost.JSON's sources, compiled once.
+#include <boost/json/src.hpp>
--- a/src/protocol/pg/scram.cpp
+++ b/src/protocol/pg/scram.cpp
@@ -1,5 +1,7 @@
 #include "scram.hpp"
 
+#include "protocol/base64.hpp"
+
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
 #include <openssl/hmac.h>
@@ -56,21 +58,11 @@
 
 }  // namespace
 
-std::string base64(std::string_view bytes) {
-  std::string out(4 * ((bytes.size() + 2) / 3) + 1, '\0');
-  const int size = EVP_EncodeBlock(raw(out), raw(bytes), static_cast<int>(bytes.size()));
-  out.resize(static_cast<std::size_t>(size));
-  return out;
-}
+std::string base64(std::string_view bytes) { return paddlestand::base64(bytes); }
 
 std::optional<std::string> from_base64(std::string_view text) {
-  if (text.empty() || text.size() % 4 != 0 || text.size() > 4096) return std::nullopt;
-  std::string out(text.size() / 4 * 3, '\0');
-  const int size = EVP_DecodeBlock(raw(out), raw(text), static_cast<int>(text.size()));
-  if (size < 0) return std::nullopt;
-  const std::size_t padding = text.ends_with("==") ? 2 : text.ends_with('=') ? 1 : 0;
-  out.resize(static_cast<std::size_t>(size) - padding);
-  return out;
+  if (text.empty() || text.size() > 4096) return std::nullopt;
+  return paddlestand::from_base64(text);
 }
 
 std::optional<Verifier> Verifier::parse(std::string_view text) {
--- a/src/protocol/sql/scan.cpp
+++ b/src/protocol/sql/scan.cpp
@@ -17,7 +17,7 @@
 
 class Scanner {
  public:
-  explicit Scanner(std::string_view text) : text_(text) {}
+  Scanner(std::string_view text, std::size_t words) : text_(text), most_(words) {}
 
   Scanned run() {
     while (at_ < text_.size()) {
@@ -72,7 +72,7 @@
 
   void word(std::string what) {
     any_ = true;
-    if (current_.words.size() < most_words) current_.words.push_back(std::move(what));
+    if (current_.words.size() < most_) current_.words.push_back(std::move(what));
   }
 
   void finish() {
@@ -135,6 +135,7 @@
   }
 
   std::string_view text_;
+  std::size_t most_;
   std::size_t at_ = 0, start_ = 0;
   Statement current_;
   bool any_ = false, previous_escapes_ = false;
@@ -143,6 +144,6 @@
 
 }  // namespace
 
-Scanned scan(std::string_view text) { return Scanner(text).run(); }
+Scanned scan(std::string_view text, std::size_t words) { return Scanner(text, words).run(); }
 
 }  // namespace paddlestand::sql
--- a/src/protocol/sql/scan.hpp
+++ b/src/protocol/sql/scan.hpp
@@ -24,6 +24,6 @@
 inline constexpr std::size_t most_statements = 1000;
 inline constexpr std::size_t most_words = 8;
 
-Scanned scan(std::string_view text);
+Scanned scan(std::string_view text, std::size_t words = most_words);
 
 }  // namespace paddlestand::sql
--- /dev/null
+++ b/src/protocol/sql/tables.hpp
@@ -0,0 +1,14 @@
+// The group of tables that a statement reads or writes: the number after the underscore in the name of a
+// schema, 17 in sales_17.orders.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string_view>
+
+namespace paddlestand::sql {
+
+// Names in strings and comments do not count, nor does the schema `staging`.
+std::optional<std::uint32_t> table_group(std::string_view statement);
+
+}  // namespace paddlestand::sql
--- a/src/service/manager.cpp
+++ b/src/service/manager.cpp
@@ -25,14 +25,11 @@
 
 namespace {
 
-constexpr std::size_t scratch_bytes = 256 * 1024;
 constexpr auto sweep_period = 1s;
 constexpr auto descriptor_rest = 100ms;  // after accept() found no descriptor free
 constexpr std::size_t most_turned_away = 64;  // connections at once that are told so
 constexpr auto side_connection_time = 1s;  // cancels and changes of terms
 
-TimePoint reading() { return steady_clock::now().time_since_epoch(); }
-
 std::uint32_t random_number() {
   std::uint32_t value = 0;
   RAND_bytes(reinterpret_cast<unsigned char*>(&value), sizeof(value));
@@ -43,20 +40,15 @@
 
 Manager::Manager(asio::io_context& io, config::ManagerConfig config, std::string config_path, pg::Users users,
                  std::string engine_password)
-    : io_(io),
+    : DeskHost(io, config.log, config.name, config.core),
       config_(std::move(config)),
       config_path_(std::move(config_path)),
       users_(std::make_shared<const pg::Users>(std::move(users))),
       engine_password_(std::move(engine_password)),
-      log_(config_.log, config_.name),
       classifier_(config_.classifier, config_.core.module),
-      desk_(config_.core, true),
       acceptor_(io),
-      signals_(io, SIGTERM, SIGINT, SIGHUP),
-      timer_(io),
-      scratch_(scratch_bytes) {
+      signals_(io, SIGTERM, SIGINT, SIGHUP) {
   front_settings_.most_message = config_.listen.most_message;
-  since_1970_ = reading() - std::chrono::system_clock::now().time_since_epoch();
 }
 
 Manager::~Manager() = default;
@@ -89,19 +81,11 @@
 
 // ---- The core ----
 
-void Manager::tell(core::CoreEvent event) {
-  const bool first = !desk_.taking();
-  desk_.tell(std::move(event), *this);
-  if (first) arm();  // once a turn: what is due in its middle may not be at its end
-}
-
 void Manager::tell_end(const core::AnswerEnd& event, const pg::LinkAnswerEnd& end) {
   ends_[event.link] = end;
   tell(event);
 }
 
-TimePoint Manager::now() { return reading(); }
-
 void Manager::taking(const core::CoreEvent& event) {
   current_end_.reset();
   const auto* end = std::get_if<core::AnswerEnd>(&event);
@@ -109,22 +93,6 @@
   if (auto told = ends_.extract(end->link)) current_end_ = std::move(told.mapped());
 }
 
-void Manager::broken(const core::Breach& breach) {
-  log_.error("promise", std::string(core::name_of(breach.promise)) + ": " + breach.what);
-}
-
-void Manager::arm() {
-  const auto due = desk_.due();
-  if (!due || stopped_ || (armed_ && *armed_ <= *due)) return;
-  armed_ = due;
-  timer_.expires_at(steady_clock::time_point(std::chrono::duration_cast<steady_clock::duration>(*due)));
-  timer_.async_wait([this](const error_code& error) {
-    if (error) return;
-    armed_.reset();
-    tell(core::TimeCame{});
-  });
-}
-
 std::shared_ptr<Link> Manager::find_link(core::LinkId id) const {
   const auto found = links_.find(id);
   return found == links_.end() ? nullptr : found->second;
@@ -194,8 +162,6 @@
     session->answered(effect, current_end_ ? &*current_end_ : nullptr);
 }
 
-void Manager::carry_out(const core::Remark& effect) { log_.info("judgment", effect.text); }
-
 void Manager::carry_out(const core::Left&) {
   log_.info("left", "nothing is held any more");
   // Last answers were handed to the sockets; a client that does not read them is not waited for long.
@@ -203,12 +169,6 @@
   timer->async_wait([this, timer](const error_code&) { stop(); });
 }
 
-void Manager::stop() {
-  stopped_ = true;
-  desk_.stop();
-  io_.stop();
-}
-
 // ---- Sessions ----
 
 asio::awaitable<void> Manager::accept() {
@@ -367,8 +327,7 @@
       continue;
     }
     EngineEntry entry = one.entry;
-    // Told as a time since 1970; on the loop's clock. What started before that clock did is long ago.
-    if (entry.started.count() > 0) entry.started = std::max(TimePoint{}, entry.started + since_1970_);
+    if (entry.started.count() > 0) entry.started = on_loop(entry.started);
     engines_[entry.engine] = {address, one.at.port};
     told.engines.push_back(entry);
   }
--- a/src/service/manager.hpp
+++ b/src/service/manager.hpp
@@ -6,8 +6,6 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/signal_set.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <deque>
 #include <map>
 #include <memory>
 #include <string>
@@ -15,8 +13,7 @@
 
 #include "config/manager_config.hpp"
 #include "core/classify.hpp"
-#include "core/desk.hpp"
-#include "observe/log.hpp"
+#include "desk_host.hpp"
 #include "protocol/pg/front.hpp"
 
 namespace paddlestand::service {
@@ -24,7 +21,7 @@
 class Session;
 class Link;
 
-class Manager : private core::Hands {
+class Manager : public DeskHost {
  public:
   using tcp = boost::asio::ip::tcp;
 
@@ -39,28 +36,20 @@
   void start();
   [[nodiscard]] std::uint16_t port() const { return port_; }
 
-  [[nodiscard]] core::Counts counts() const { return desk_.counts(); }
-
   void reload();
   void leave();
 
   // ---- For sessions and links ----
 
-  // Takes an event now, or right after the one that is being taken.
-  void tell(core::CoreEvent event);
   // As above, with what the engine said at the end of an answer, for the session that gets it.
   void tell_end(const core::AnswerEnd& event, const pg::LinkAnswerEnd& end);
   void ask(const std::shared_ptr<Session>& session, pg::FrontRequest request);
   void cancel_session(pg::CancelKey key);
   void session_gone(core::SessionId id);
 
-  [[nodiscard]] observe::Log& log() { return log_; }
   [[nodiscard]] const config::ManagerConfig& config() const { return config_; }
   [[nodiscard]] const pg::FrontSettings& front_settings() const { return front_settings_; }
   [[nodiscard]] std::shared_ptr<const pg::Users> users() const { return users_; }
-  [[nodiscard]] boost::asio::io_context& io() { return io_; }
-  // One buffer for all reads: nothing keeps a view into it over a suspension.
-  [[nodiscard]] std::span<char> scratch() { return scratch_; }
   [[nodiscard]] pg::EngineLogin engine_login() const;
   [[nodiscard]] std::string nonce();
 
@@ -68,7 +57,6 @@
   friend class Link;
 
   // The desk's.
-  TimePoint now() override;
   void taking(const core::CoreEvent& event) override;
   core::Written send(const core::SendQuery& effect) override;
   core::Written send(const core::SendProbe& effect) override;
@@ -81,12 +69,9 @@
   void carry_out(const core::PauseLink& effect) override;
   void carry_out(const core::ResumeLink& effect) override;
   void carry_out(const core::Answer& effect) override;
-  void carry_out(const core::Remark& effect) override;
   void carry_out(const core::Left& effect) override;
-  void broken(const core::Breach& breach) override;
 
-  void arm();
-  void stop();
+  using DeskHost::carry_out;
   boost::asio::awaitable<void> accept();
   boost::asio::awaitable<void> watch_engines();
   boost::asio::awaitable<void> sweep();
@@ -98,22 +83,16 @@
   std::shared_ptr<Link> find_link(core::LinkId id) const;
   std::shared_ptr<Session> find_session(core::SessionId id) const;
 
-  boost::asio::io_context& io_;
   config::ManagerConfig config_;
   std::string config_path_;
   std::shared_ptr<const pg::Users> users_;
   std::string engine_password_;
-  observe::Log log_;
   core::Classifier classifier_;
   pg::FrontSettings front_settings_;
-  core::Desk desk_;
 
   tcp::acceptor acceptor_;
   std::uint16_t port_ = 0;
   boost::asio::signal_set signals_;
-  boost::asio::steady_timer timer_;
-  std::optional<TimePoint> armed_;
-  Duration since_1970_{};  // 1970 on the loop's clock
 
   std::unordered_map<core::SessionId, std::shared_ptr<Session>> sessions_;
   std::unordered_map<core::QueryId, core::SessionId> queries_;
@@ -125,8 +104,7 @@
   std::unordered_map<core::LinkId, pg::LinkAnswerEnd> ends_;  // of answers that wait to be taken
   std::optional<pg::LinkAnswerEnd> current_end_;
   std::size_t turned_away_ = 0;  // being told that there are too many sessions
-  bool stopped_ = false, leaving_ = false;
-  std::vector<char> scratch_;
+  bool leaving_ = false;
 };
 
 }  // namespace paddlestand::service
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -5,7 +5,7 @@
 #include <cstring>
 #include <string>
 
-#include "settings_parser.hpp"
+#include "config/settings_parser.hpp"
 #include "wire_host.hpp"
 
 namespace paddlestand::wire {
@@ -268,7 +268,7 @@
 }
 
 TEST(SettingsParser, ReadsWhatItKnowsAndSkipsTheRest) {
-  const auto parsed = parse_settings(boot);
+  const auto parsed = config::parse_settings(boot);
   ASSERT_TRUE(std::holds_alternative<ParsedSettings>(parsed));
   const Settings& s = std::get<ParsedSettings>(parsed).settings;
   ASSERT_EQ(s.classes.size(), 1U);
@@ -283,7 +283,7 @@
   for (const auto* text :
        {"classes.count=1\nclasses.0.repeat=perhaps\n", "permissions.cancel=maybe\n", "no equals\n",
         "rules.cold_ns=-5\n", "classes.count=99999999\n", "balancers=nan\n"}) {
-    EXPECT_TRUE(std::holds_alternative<std::string>(parse_settings(text))) << text;
+    EXPECT_TRUE(std::holds_alternative<std::string>(config::parse_settings(text))) << text;
   }
 }
 
