--- a/src/platform/client.cpp
+++ b/src/platform/client.cpp
@@ -74,11 +74,7 @@
       co_return;
     }
     lines_.feed({scratch.data(), got});
-    std::vector<jsonrpc::Message> messages;
-    while (const auto line = lines_.next()) messages.push_back(platform_.calls().read(*line));
-    if (lines_.too_long())
-      messages.push_back(jsonrpc::Problem{{}, jsonrpc::Code::invalid_request, "a message that is too long"});
-    take(std::move(messages));
+    take(whole_messages());
     if (closed_ || ending_) co_return;
     if (!lines_.inside()) {
       inside_since_.reset();
@@ -90,6 +86,17 @@
   }
 }
 
+std::vector<jsonrpc::Message> Client::whole_messages() {
+  std::vector<jsonrpc::Message> messages;
+  while (const auto line = lines_.next()) messages.push_back(platform_.calls().read(*line));
+  if (lines_.too_long()) {
+    messages.emplace_back(
+        std::in_place_type<jsonrpc::Problem>,
+        jsonrpc::Problem{std::nullopt, jsonrpc::Code::invalid_request, "a message that is too long"});
+  }
+  return messages;
+}
+
 std::optional<jsonrpc::Problem> Client::wrong_with(const jsonrpc::Query& query) const {
   const auto wrong = [&](jsonrpc::Code code, const char* text) {
     return jsonrpc::Problem{query.id, code, text};
--- a/src/platform/client.hpp
+++ b/src/platform/client.hpp
@@ -37,6 +37,7 @@
  private:
   boost::asio::awaitable<void> read();
   boost::asio::awaitable<void> write_on();
+  std::vector<jsonrpc::Message> whole_messages();
   void take(std::vector<jsonrpc::Message> messages);
   // One error for what can't be taken, and an end of the connection behind it.
   void turn_away(const std::vector<jsonrpc::Message>& messages, std::size_t at,
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -269,8 +269,8 @@
 
 TEST(SettingsParser, ReadsWhatItKnowsAndSkipsTheRest) {
   const auto parsed = config::parse_settings(boot);
-  ASSERT_TRUE(std::holds_alternative<ParsedSettings>(parsed));
-  const Settings& s = std::get<ParsedSettings>(parsed).settings;
+  ASSERT_TRUE(std::holds_alternative<config::ParsedSettings>(parsed));
+  const Settings& s = std::get<config::ParsedSettings>(parsed).settings;
   ASSERT_EQ(s.classes.size(), 1U);
   EXPECT_EQ(s.classes[0].aim, std::chrono::seconds(1));
   EXPECT_EQ(s.classes[0].repeat, Repeat::safe);
