--- a/apps/paddlestand.cpp
+++ b/apps/paddlestand.cpp
@@ -17,11 +17,6 @@
 namespace paddlestand::app {
 namespace {
 
-int complain(const std::string& text) {
-  std::cerr << "paddlestand: " << text << "\n";
-  return exit_bad_input;
-}
-
 // Sessions and links want descriptors; an ordinary user may raise the soft limit up to the hard one.
 void raise_descriptors() {
   rlimit limit{};
@@ -55,15 +50,7 @@
     std::ofstream(fresh) << manager.port() << "\n";
     if (std::rename(fresh.c_str(), port_file.c_str()) != 0) return complain(port_file + ": can't be written");
   }
-  try {
-    io.run();
-  } catch (const std::exception& error) {
-    // A manager that has lost track of an attempt can keep no promise about it.
-    manager.log().error("assertion", error.what());
-    std::cerr << "paddlestand: " << error.what() << "\n";
-    return exit_failed;
-  }
-  return exit_well;
+  return run_host(io, manager);
 }
 
 int check_config(const std::string& path) {
--- a/apps/platform.cpp
+++ b/apps/platform.cpp
@@ -15,11 +15,6 @@
   bool trace = false;
 };
 
-int complain(const std::string& text) {
-  std::cerr << "paddlestand: " << text << "\n";
-  return exit_bad_input;
-}
-
 int run_platform(const PlatformOptions& options) {
   if (options.config.empty())
     return complain("PROXY_CONFIG is not set; wanted: the path of the configuration");
@@ -42,15 +37,7 @@
     std::cerr << "paddlestand: can't listen on " << listen << ": " << error.code().message() << "\n";
     return exit_failed;
   }
-  try {
-    io.run();
-  } catch (const std::exception& error) {
-    // A manager that has lost track of an attempt can keep no promise about it.
-    host.log().error("assertion", error.what());
-    std::cerr << "paddlestand: " << error.what() << "\n";
-    return exit_failed;
-  }
-  return exit_well;
+  return run_host(io, host);
 }
 
 }  // namespace
--- a/src/core/conductor.cpp
+++ b/src/core/conductor.cpp
@@ -524,6 +524,8 @@
     pools_[id].told(false, pools_[id].started());
     engine_not_ready(id);
   }
+  // Engines are ever new: what is not ready and holds nothing is nothing to remember.
+  std::erase_if(pools_, [](const auto& pool) { return !pool.second.ready() && pool.second.links() == 0; });
 }
 
 // ---- Answers ----
--- a/src/core/promises.cpp
+++ b/src/core/promises.cpp
@@ -195,9 +195,26 @@
     engine.ready = true;
     if (restarted && entry.started.count() > 0) engine.warm_at = entry.started + s_->module.cold_time;
   }
-  if (event.scope == FleetScope::delta) return;
-  for (auto& [id, engine] : engines_)
-    if (!named.contains(id)) not_ready(engine);
+  if (event.scope != FleetScope::delta) {
+    for (auto& [id, engine] : engines_) {
+      if (named.contains(id)) continue;
+      not_ready(engine);
+      engine.entry.state = EngineState::gone;
+    }
+  }
+  forget_gone();
+}
+
+// Engines are ever new. One that is gone is remembered only as long as something refers to it.
+void Promises::forget_gone() {
+  const auto gone = [](const auto& engine) {
+    return !engine.second.ready && engine.second.links == 0 && engine.second.entry.state == EngineState::gone;
+  };
+  if (std::none_of(engines_.begin(), engines_.end(), gone)) return;
+  std::set<EngineId> tried;
+  for (const auto& [id, query] : queries_)
+    for (const Attempt& attempt : query.attempts) tried.insert(attempt.engine);
+  std::erase_if(engines_, [&](const auto& engine) { return gone(engine) && !tried.contains(engine.first); });
 }
 
 void Promises::on(const TimeCame&) {
--- a/src/core/promises.hpp
+++ b/src/core/promises.hpp
@@ -147,6 +147,7 @@
   void handed(const Link& link);
   void ended(Link& link, bool may_still_run);
   void not_ready(Engine& engine);
+  void forget_gone();
   void forget_if_done(QueryId id);
   [[nodiscard]] const ClassSettings& class_of(const Query& query) const;
   Query* find(QueryId id);
--- a/src/platform/channel.cpp
+++ b/src/platform/channel.cpp
@@ -57,9 +57,7 @@
   error_code error;
   socket_.open(at_.protocol(), error);
   if (error) {
-    const bool ours =
-        error == asio::error::no_descriptors || error == boost::system::errc::too_many_files_open_in_system;
-    lost(ours ? core::LinkLoss::out_of_descriptors : core::LinkLoss::refused, error.message());
+    lost(service::loss_of_opening(error), error.message());
     co_return;
   }
   co_await socket_.async_connect(at_, asio::redirect_error(asio::use_awaitable, error));
--- a/src/platform/client.cpp
+++ b/src/platform/client.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <set>
 
 #include "platform.hpp"
 
@@ -97,43 +98,44 @@
   return messages;
 }
 
-std::optional<jsonrpc::Problem> Client::wrong_with(const jsonrpc::Query& query) const {
-  const auto wrong = [&](jsonrpc::Code code, const char* text) {
-    return jsonrpc::Problem{query.id, code, text};
-  };
-  if (query.id <= last_id_)
-    return wrong(jsonrpc::Code::invalid_request, "id; wanted: one that this connection has not used");
-  if (platform_.trace_open(query.trace))
-    return wrong(jsonrpc::Code::invalid_params, "trace; wanted: one that is not open");
-  if (open_.size() >= most_open) return wrong(jsonrpc::Code::refused, "at most 32 requests are open at once");
+// All that came together is looked at before any of it is acted on: a client that sends what can't be taken
+// behind requests in good form, or takes back at once what it asks, costs the engines nothing.
+std::optional<jsonrpc::Problem> Client::wrong_among(const std::vector<jsonrpc::Message>& messages) const {
+  std::size_t open = open_.size();
+  std::int64_t last = last_id_;
+  std::set<std::uint64_t> traces;
+  for (const jsonrpc::Message& message : messages) {
+    if (const auto* problem = std::get_if<jsonrpc::Problem>(&message)) return *problem;
+    if (std::holds_alternative<jsonrpc::Forget>(message) && open > 0) --open;
+    const auto* query = std::get_if<jsonrpc::Query>(&message);
+    if (query == nullptr) continue;
+    const auto wrong = [&](jsonrpc::Code code, const char* text) {
+      return jsonrpc::Problem{query->id, code, text};
+    };
+    if (query->id <= last)
+      return wrong(jsonrpc::Code::invalid_request, "id; wanted: one that this connection has not used");
+    if (platform_.trace_open(query->trace) || !traces.insert(query->trace).second)
+      return wrong(jsonrpc::Code::invalid_params, "trace; wanted: one that is not open");
+    if (++open > most_open) return wrong(jsonrpc::Code::refused, "at most 32 requests are open at once");
+    last = query->id;
+  }
   return std::nullopt;
 }
 
 void Client::take(std::vector<jsonrpc::Message> messages) {
   if (messages.empty()) return;
   used_ = platform_.reading();
-  // All that came together is looked at before any of it is acted on: a client that sends what can't be taken
-  // behind requests in good form, or takes back at once what it asks, costs the engines nothing.
-  std::size_t open = open_.size();
-  for (std::size_t i = 0; i < messages.size(); ++i) {
-    if (const auto* problem = std::get_if<jsonrpc::Problem>(&messages[i]))
-      return turn_away(messages, 0, *problem);
-    open += std::holds_alternative<jsonrpc::Query>(messages[i]) ? 1 : 0;
-    if (std::holds_alternative<jsonrpc::Forget>(messages[i]) && open > 0) --open;
-    if (open > most_open)
-      return turn_away(messages, 0,
-                       {std::nullopt, jsonrpc::Code::refused, "at most 32 requests are open at once"});
-  }
+  if (const auto wrong = wrong_among(messages)) return turn_away(messages, *wrong);
   spoke_ = true;
-  for (std::size_t i = 0; i < messages.size() && !closed_; ++i) {
-    if (auto* query = std::get_if<jsonrpc::Query>(&messages[i])) {
-      if (const auto wrong = wrong_with(*query)) return turn_away(messages, i, *wrong);
+  for (jsonrpc::Message& message : messages) {
+    if (closed_) return;
+    if (auto* query = std::get_if<jsonrpc::Query>(&message)) {
       last_id_ = query->id;
       const std::int64_t id = query->id;
       const core::SessionId session = platform_.next_session();
       open_.emplace(id, session);
       platform_.ask(shared_from_this(), session, std::move(*query));
-    } else if (const auto* forget = std::get_if<jsonrpc::Forget>(&messages[i])) {
+    } else if (const auto* forget = std::get_if<jsonrpc::Forget>(&message)) {
       // Letting one go may have others answered at once: nothing points into the table meanwhile.
       std::vector<core::SessionId> gone;
       std::erase_if(open_, [&](const auto& one) {
@@ -144,31 +146,32 @@
       });
       for (const core::SessionId session : gone) platform_.let_go(session);
       if (forget->id) jsonrpc::put_done(out_, *forget->id);
-    } else if (const auto* well = std::get_if<jsonrpc::WellAsked>(&messages[i])) {
+    } else if (const auto* well = std::get_if<jsonrpc::WellAsked>(&message)) {
       jsonrpc::put_well(out_, well->id, platform_.green());
     }
   }
   flush();
 }
 
-void Client::turn_away(const std::vector<jsonrpc::Message>& messages, std::size_t at,
-                       const jsonrpc::Problem& problem) {
+// One error for each number that is open or was asked under, and then the connection's end.
+void Client::turn_away(const std::vector<jsonrpc::Message>& messages, const jsonrpc::Problem& problem) {
   platform_.turned_away(*this, problem);
-  for (; at < messages.size() && out_.size() < most_line; ++at) {
-    if (const auto* query = std::get_if<jsonrpc::Query>(&messages[at])) {
-      const bool itself = problem.id == query->id;
-      jsonrpc::put_error(out_, query->id, itself ? problem.code : jsonrpc::Code::refused, problem.text);
-    } else if (const auto* other = std::get_if<jsonrpc::Problem>(&messages[at])) {
-      jsonrpc::put_error(out_, other->id, other->code, other->text);
-    }
-  }
   std::map<std::int64_t, core::SessionId> open;
   open.swap(open_);
   ending_ = true;
+  std::set<std::int64_t> told;
+  const auto tell = [&](std::optional<std::int64_t> id, jsonrpc::Code code, const std::string& text) {
+    if (out_.size() < most_line && (!id || told.insert(*id).second)) jsonrpc::put_error(out_, id, code, text);
+  };
+  tell(problem.id, problem.code, problem.text);
   for (const auto& [id, session] : open) {
-    jsonrpc::put_error(out_, id, jsonrpc::Code::failed, "the connection ends: " + problem.text);
+    tell(id, jsonrpc::Code::failed, "the connection ends: " + problem.text);
     platform_.let_go(session);
   }
+  for (const jsonrpc::Message& message : messages) {
+    if (const auto* query = std::get_if<jsonrpc::Query>(&message))
+      tell(query->id, jsonrpc::Code::refused, "the connection ends: " + problem.text);
+  }
   flush();
 }
 
@@ -230,7 +233,7 @@
   if (closed_) return;
   if (!spoke_ && now - accepted_ > silent_life) return close();
   if (inside_since_ && now - *inside_since_ > half_line && !ending_) {
-    return turn_away({}, 0, {std::nullopt, jsonrpc::Code::parse_error, "the rest of a message did not come"});
+    return turn_away({}, {std::nullopt, jsonrpc::Code::parse_error, "the rest of a message did not come"});
   }
   if (backlog() > 0 && now - progress_ > write_stall) return close();
   if (idle() && now - used_ > idle_life) close();
--- a/src/platform/client.hpp
+++ b/src/platform/client.hpp
@@ -39,10 +39,9 @@
   boost::asio::awaitable<void> write_on();
   std::vector<jsonrpc::Message> whole_messages();
   void take(std::vector<jsonrpc::Message> messages);
-  // One error for what can't be taken, and an end of the connection behind it.
-  void turn_away(const std::vector<jsonrpc::Message>& messages, std::size_t at,
-                 const jsonrpc::Problem& problem);
-  [[nodiscard]] std::optional<jsonrpc::Problem> wrong_with(const jsonrpc::Query& query) const;
+  [[nodiscard]] std::optional<jsonrpc::Problem> wrong_among(
+      const std::vector<jsonrpc::Message>& messages) const;
+  void turn_away(const std::vector<jsonrpc::Message>& messages, const jsonrpc::Problem& problem);
   void flush();
   void end();
 
--- a/src/platform/platform.cpp
+++ b/src/platform/platform.cpp
@@ -24,7 +24,6 @@
 constexpr double usual_memory_mb = 256;
 constexpr std::size_t reserve_descriptors = 24;  // the loop's own, the log, the listener, the command channel
 constexpr std::size_t backlog_part = 8;  // of the memory: what clients have not read yet, all together
-constexpr auto descriptor_rest = 50ms;  // after accept() found no descriptor free
 constexpr auto sweep_period = 100ms;
 constexpr auto beat_silence = 2s;  // two beats of the command channel
 constexpr auto follow_connect = 500ms;
@@ -84,7 +83,8 @@
   for (const command_channel::Event& event : config_.known) apply(event, gap);
   config_.known.clear();
   told_ = true;
-  asio::co_spawn(io_, accept(), asio::detached);
+  asio::co_spawn(io_, accept_on(acceptor_, [this](tcp::socket socket) { take(std::move(socket)); }),
+                 asio::detached);
   asio::co_spawn(io_, follow(), asio::detached);
   asio::co_spawn(io_, sweep(), asio::detached);
   asio::co_spawn(io_, signals(), asio::detached);
@@ -95,25 +95,11 @@
 
 // ---- Clients ----
 
-asio::awaitable<void> Platform::accept() {
-  bool told = false;
-  for (;;) {
-    error_code error;
-    tcp::socket socket = co_await acceptor_.async_accept(asio::redirect_error(asio::use_awaitable, error));
-    if (stopped_ || error == asio::error::operation_aborted) co_return;
-    if (error) {
-      if (!told) log_.warn("accept", error.message() + "; connections wait");
-      told = true;
-      asio::steady_timer rest(io_, descriptor_rest);
-      co_await rest.async_wait(asio::redirect_error(asio::use_awaitable, error));
-      continue;
-    }
-    told = false;
-    if (clients_.size() >= most_clients_ && !make_room()) continue;  // it is closed here
-    const auto client = std::make_shared<Client>(*this, std::move(socket), ++last_client_);
-    clients_.emplace(client->number(), client);
-    client->start();
-  }
+void Platform::take(tcp::socket socket) {
+  if (clients_.size() >= most_clients_ && !make_room()) return;  // it is closed here
+  const auto client = std::make_shared<Client>(*this, std::move(socket), ++last_client_);
+  clients_.emplace(client->number(), client);
+  client->start();
 }
 
 // Who never said anything goes first, then who has been idle for longest; nobody with an open request.
@@ -284,7 +270,6 @@
   std::vector<core::LinkId> waiting;
   for (const auto& [link, stream] : streams_)
     if (stream.channel == channel && !stream.sent) waiting.push_back(link);
-  std::sort(waiting.begin(), waiting.end());
   for (const core::LinkId link : waiting) tell(core::LinkUp{link});
 }
 
@@ -293,7 +278,6 @@
   std::vector<core::LinkId> on_it;
   for (const auto& [link, stream] : streams_)
     if (stream.channel == channel) on_it.push_back(link);
-  std::sort(on_it.begin(), on_it.end());
   if (why == core::LinkLoss::broken_protocol || trace_)
     log_.info("channel", "engine " + std::to_string(channel->engine()) + ": " + what + "; " +
                              std::to_string(on_it.size()) + " streams end");
--- a/src/platform/platform.hpp
+++ b/src/platform/platform.hpp
@@ -33,10 +33,15 @@
 
   // Listens, and begins. Throws boost::system::system_error where the address can't be had.
   void start();
+  [[nodiscard]] std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
 
   void reload();
   void leave();
 
+  [[nodiscard]] std::size_t clients() const { return clients_.size(); }
+  [[nodiscard]] std::size_t channels() const { return channel_count_; }
+  [[nodiscard]] std::uint64_t last_event() const { return fleet_.last(); }
+
   // ---- For clients ----
 
   [[nodiscard]] TimePoint reading() { return now(); }
@@ -94,7 +99,7 @@
   void carry_out(const core::Left& effect) override;
   using DeskHost::carry_out;
 
-  boost::asio::awaitable<void> accept();
+  void take(tcp::socket socket);
   boost::asio::awaitable<void> follow();
   boost::asio::awaitable<void> sweep();
   boost::asio::awaitable<void> signals();
@@ -121,7 +126,7 @@
   std::map<std::uint64_t, std::shared_ptr<Client>> clients_;
   std::unordered_map<core::SessionId, Request> requests_;  // a session asks the query of its own number
   std::unordered_set<std::uint64_t> traces_;  // of the requests that are open
-  std::unordered_map<core::LinkId, Stream> streams_;
+  std::map<core::LinkId, Stream> streams_;  // in the order of links: what follows from a loss has one order
   std::map<EngineId, std::vector<std::shared_ptr<Channel>>> channels_;
   std::size_t channel_count_ = 0;
   Fleet fleet_;
--- a/src/service/desk_host.hpp
+++ b/src/service/desk_host.hpp
@@ -2,8 +2,11 @@
 // are spoken at either side is the deriving host's.
 #pragma once
 
+#include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <functional>
 #include <span>
 #include <string>
 #include <vector>
@@ -13,6 +16,10 @@
 
 namespace paddlestand::service {
 
+// What it means for a link that its socket could not be opened: want of descriptors is this manager's
+// trouble.
+core::LinkLoss loss_of_opening(const boost::system::error_code& error);
+
 class DeskHost : protected core::Hands {
  public:
   DeskHost(const DeskHost&) = delete;
@@ -40,6 +47,9 @@
   // A time since 1970 on the loop's clock. What lies before that clock's zero is long ago.
   [[nodiscard]] TimePoint on_loop(Duration since_1970) const;
   void stop();
+  // Accepts until the acceptor is closed. Where no descriptor is free, who waits is taken when one is.
+  boost::asio::awaitable<void> accept_on(boost::asio::ip::tcp::acceptor& acceptor,
+                                         std::function<void(boost::asio::ip::tcp::socket)> take);
 
   boost::asio::io_context& io_;
   observe::Log log_;
--- a/src/service/manager.cpp
+++ b/src/service/manager.cpp
@@ -26,7 +26,6 @@
 namespace {
 
 constexpr auto sweep_period = 1s;
-constexpr auto descriptor_rest = 100ms;  // after accept() found no descriptor free
 constexpr std::size_t most_turned_away = 64;  // connections at once that are told so
 constexpr auto side_connection_time = 1s;  // cancels and changes of terms
 
@@ -72,7 +71,8 @@
   acceptor_.listen();
   port_ = acceptor_.local_endpoint().port();
   use_engines(config_.engines);
-  asio::co_spawn(io_, accept(), asio::detached);
+  asio::co_spawn(io_, accept_on(acceptor_, [this](tcp::socket socket) { take(std::move(socket)); }),
+                 asio::detached);
   asio::co_spawn(io_, sweep(), asio::detached);
   asio::co_spawn(io_, signals(), asio::detached);
   if (!config_.engines_file.empty()) asio::co_spawn(io_, watch_engines(), asio::detached);
@@ -171,32 +171,18 @@
 
 // ---- Sessions ----
 
-asio::awaitable<void> Manager::accept() {
-  bool told = false;
-  for (;;) {
-    error_code error;
-    tcp::socket socket = co_await acceptor_.async_accept(asio::redirect_error(asio::use_awaitable, error));
-    if (leaving_ || error == asio::error::operation_aborted) co_return;
-    if (error) {
-      // No descriptor is free: who waits in the listen queue is taken when one is.
-      if (!told) log_.warn("accept", error.message() + "; connections wait");
-      told = true;
-      asio::steady_timer rest(io_, descriptor_rest);
-      co_await rest.async_wait(asio::redirect_error(asio::use_awaitable, error));
-      continue;
-    }
-    told = false;
-    if (sessions_.size() >= config_.listen.most_sessions) {
-      // A flood of them is closed without a word, so that saying so takes no room of its own.
-      if (turned_away_ < most_turned_away) asio::co_spawn(io_, say_full(std::move(socket)), asio::detached);
-      continue;
-    }
-    const core::SessionId id = ++last_session_;
-    const pg::CancelKey key{static_cast<std::uint32_t>(id & 0x7fffffffU), random_number()};
-    const auto session = std::make_shared<Session>(*this, std::move(socket), id, key);
-    sessions_.emplace(id, session);
-    session->start();
+void Manager::take(tcp::socket socket) {
+  if (leaving_) return;
+  if (sessions_.size() >= config_.listen.most_sessions) {
+    // A flood of them is closed without a word, so that saying so takes no room of its own.
+    if (turned_away_ < most_turned_away) asio::co_spawn(io_, say_full(std::move(socket)), asio::detached);
+    return;
   }
+  const core::SessionId id = ++last_session_;
+  const pg::CancelKey key{static_cast<std::uint32_t>(id & 0x7fffffffU), random_number()};
+  const auto session = std::make_shared<Session>(*this, std::move(socket), id, key);
+  sessions_.emplace(id, session);
+  session->start();
 }
 
 asio::awaitable<void> Manager::say_full(tcp::socket socket) {
--- a/src/service/manager.hpp
+++ b/src/service/manager.hpp
@@ -72,7 +72,7 @@
   void carry_out(const core::Left& effect) override;
 
   using DeskHost::carry_out;
-  boost::asio::awaitable<void> accept();
+  void take(tcp::socket socket);
   boost::asio::awaitable<void> watch_engines();
   boost::asio::awaitable<void> sweep();
   boost::asio::awaitable<void> signals();
--- a/src/workload_manager.cpp
+++ b/src/workload_manager.cpp
@@ -58,6 +58,7 @@
 constexpr double error_weight = 0.25;  // of one outcome in an engine's failures: two in a row shun it
 constexpr double error_shun = 0.4;  // share of failures
 constexpr double evidence_memory = 10;  // s in which what was seen of an engine fades to what is usual
+constexpr double gone_memory = 3;  // times that: then nothing is left of what was seen of one that is gone
 constexpr double doubt_weight = 4;  // of a share of failures of one, in own threads over the thread bound
 constexpr double shun_first = 1.0;  // s, doubled at each failed trial
 constexpr double shun_most = 8.0;  // s
@@ -434,6 +435,20 @@
     e.judged_at = now_;
   }
 
+  // Engines are ever new in long service: one that left, of which nothing is out and nothing seen any more.
+  void forget_gone() {
+    std::set<EngineId> named;
+    for (const auto& [id, r] : requests_)
+      for (const Attempt& a : r.attempts) named.insert(a.engine);
+    for (const PeerNews& peer : peers_)
+      for (const ToldAttempt& q : peer.out) named.insert(q.engine);
+    std::erase_if(engines_, [&](const auto& one) {
+      const auto& [id, e] = one;
+      const double seen = std::max({e.judged_at, e.last_answer, e.cold_until});
+      return !e.listed && !e.probing && now_ - seen > gone_memory * evidence_memory && !named.contains(id);
+    });
+  }
+
   void read_report(const Engine& e, const LoadReport& report) {
     if (!report.queries || !std::isfinite(*report.queries)) return;
     double& load = zone_load_.try_emplace(e.entry.zone, *report.queries).first->second;
@@ -928,6 +943,7 @@
       set_bounds();
       drop_older(further_, s_.attempt_budget ? 2 * seconds(s_.attempt_budget->window + s_.send_delay) : 0.0);
       std::erase_if(rests_, [&](const auto& rest) { return rest.second < now_; });
+      forget_gone();
       for (auto& [id, e] : engines_) {
         if (now_ >= e.cold_until) e.cold_sends.clear();
       }
--- /dev/null
+++ b/tests/platform/peers.hpp
@@ -0,0 +1,266 @@
+// Peers of a platform host, for tests over loopback: engines and a command channel that do just what a test
+// tells them, byte by byte, and raw clients.
+#pragma once
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <boost/json.hpp>
+#include <fstream>
+#include <string>
+
+#include "platform/platform.hpp"
+#include "protocol/base64.hpp"
+#include "tests/hosted.hpp"
+
+namespace paddlestand::platform::test {
+
+using namespace paddlestand::test;
+
+// One connection, seen from the test.
+class Wire {
+ public:
+  explicit Wire(int socket = -1) : socket_(socket) {}
+  Wire(Wire&& other) noexcept : socket_(std::exchange(other.socket_, -1)) {}
+  Wire& operator=(Wire&& other) noexcept {
+    close();
+    socket_ = std::exchange(other.socket_, -1);
+    return *this;
+  }
+  ~Wire() { close(); }
+
+  static Wire connect(std::uint16_t port) {
+    Wire wire(::socket(AF_INET, SOCK_STREAM, 0));
+    sockaddr_in at{};
+    at.sin_family = AF_INET;
+    at.sin_port = htons(port);
+    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    EXPECT_EQ(::connect(wire.socket_, reinterpret_cast<sockaddr*>(&at), sizeof(at)), 0);
+    return wire;
+  }
+
+  [[nodiscard]] bool open() const { return socket_ >= 0; }
+  void close() {
+    if (socket_ >= 0) ::close(socket_);
+    socket_ = -1;
+  }
+  void reset() {  // not closed: reset
+    const linger now{1, 0};
+    ::setsockopt(socket_, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+    close();
+  }
+  // False where the other side closed meanwhile.
+  bool write(std::string_view bytes) const {
+    while (!bytes.empty()) {
+      const ssize_t sent = ::send(socket_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+      if (sent <= 0) return false;
+      bytes.remove_prefix(static_cast<std::size_t>(sent));
+    }
+    return true;
+  }
+  // What is there, waited for; nothing at the end.
+  std::optional<std::string> read(int wait_ms = patience_ms) const {
+    pollfd one{socket_, POLLIN, 0};
+    if (::poll(&one, 1, wait_ms) <= 0) return std::string{};
+    char part[65536];
+    const ssize_t got = ::recv(socket_, part, sizeof(part), 0);
+    if (got <= 0) return std::nullopt;
+    return std::string(part, static_cast<std::size_t>(got));
+  }
+  bool ends() const {
+    for (;;) {
+      const auto more = read();
+      if (!more) return true;
+      if (more->empty()) return false;
+    }
+  }
+
+ private:
+  int socket_;
+};
+
+class Listener {
+ public:
+  Listener() : socket_(::socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in at{};
+    at.sin_family = AF_INET;
+    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(at);
+    EXPECT_EQ(::bind(socket_, reinterpret_cast<sockaddr*>(&at), size), 0);
+    EXPECT_EQ(::listen(socket_, 64), 0);
+    EXPECT_EQ(::getsockname(socket_, reinterpret_cast<sockaddr*>(&at), &size), 0);
+    port_ = ntohs(at.sin_port);
+  }
+  ~Listener() { ::close(socket_); }
+  Listener(const Listener&) = delete;
+  Listener& operator=(const Listener&) = delete;
+
+  [[nodiscard]] std::uint16_t port() const { return port_; }
+  Wire accept(int wait_ms = patience_ms) const {
+    pollfd one{socket_, POLLIN, 0};
+    if (::poll(&one, 1, wait_ms) <= 0) return Wire{};
+    return Wire{::accept(socket_, nullptr, nullptr)};
+  }
+
+ private:
+  int socket_;
+  std::uint16_t port_ = 0;
+};
+
+// An engine's end of a channel.
+class EngineSide {
+ public:
+  explicit EngineSide(const Listener& listener, int wait_ms = patience_ms)
+      : wire_(listener.accept(wait_ms)), reader_(engine_frames::Side::manager) {}
+
+  [[nodiscard]] bool open() const { return wire_.open(); }
+  // The next command, waited for; nothing at the end, or when none comes.
+  std::optional<engine_frames::Frame> next(int wait_ms = patience_ms) {
+    for (;;) {
+      auto frame = reader_.next();
+      if (auto* one = std::get_if<engine_frames::Frame>(&frame)) return std::move(*one);
+      if (std::holds_alternative<engine_frames::Broken>(frame)) {
+        ADD_FAILURE() << "a manager's frame can't be read";
+        return std::nullopt;
+      }
+      const auto bytes = wire_.read(wait_ms);
+      if (!bytes || bytes->empty()) return std::nullopt;
+      reader_.feed(*bytes);
+    }
+  }
+  void answer(std::uint8_t code, std::uint64_t id, std::string_view fields = {}, std::string_view body = {}) {
+    std::string bytes;
+    engine_frames::put_frame(bytes, engine_frames::Side::engine, code, id, fields, body);
+    wire_.write(bytes);
+  }
+  Wire& wire() { return wire_; }
+
+ private:
+  Wire wire_;
+  engine_frames::FrameReader reader_;
+};
+
+class RawClient {
+ public:
+  explicit RawClient(std::uint16_t port) : wire_(Wire::connect(port)) {}
+
+  static std::string line(int id, std::uint64_t trace, const std::string& method = "report",
+                          const std::string& more = "", int patience_ms_ = 7000) {
+    char hex[17];
+    std::snprintf(hex, sizeof(hex), "%016llx", static_cast<unsigned long long>(trace));
+    return R"({"jsonrpc":"2.0","id":)" + std::to_string(id) + R"(,"method":")" + method +
+           R"(","params":{"trace":")" + hex + R"(","patience":)" + std::to_string(patience_ms_) +
+           R"(,"weight":20,"content":")" + base64("SELECT 1 FROM a_1.b") + "\"" + more + "}}\n";
+  }
+  void ask(int id, std::uint64_t trace) const { EXPECT_TRUE(wire_.write(line(id, trace))); }
+
+  // The next line as JSON; null at the end, or when none comes.
+  boost::json::value next(int wait_ms = patience_ms) {
+    for (;;) {
+      const auto end = bytes_.find('\n');
+      if (end != std::string::npos) {
+        auto value = boost::json::parse(bytes_.substr(0, end));
+        bytes_.erase(0, end + 1);
+        return value;
+      }
+      const auto more = wire_.read(wait_ms);
+      if (!more || more->empty()) return {};
+      bytes_ += *more;
+    }
+  }
+  // "served:<body>", "error:<code>", or "nothing".
+  std::string outcome(int wait_ms = patience_ms) {
+    const auto value = next(wait_ms);
+    if (!value.is_object()) return "nothing";
+    last_id_ = value.as_object().at("id").is_int64() ? value.as_object().at("id").as_int64() : 0;
+    if (const auto* error = value.as_object().if_contains("error"))
+      return "error:" + std::to_string(error->as_object().at("code").as_int64());
+    const auto& content = value.as_object().at("result").as_object();
+    return content.contains("content")
+               ? "served:" + *from_base64(std::string_view(content.at("content").as_string()))
+               : "done";
+  }
+  [[nodiscard]] std::int64_t last_id() const { return last_id_; }
+  Wire& wire() { return wire_; }
+
+ private:
+  Wire wire_;
+  std::string bytes_;
+  std::int64_t last_id_ = 0;
+};
+
+inline command_channel::Record engine_at(EngineId id, std::uint16_t port,
+                                         EngineState state = EngineState::ready) {
+  command_channel::Record record;
+  record.entry = {id, state, 0, 0, 0, 1.0, {}};
+  record.address = INADDR_LOOPBACK;
+  record.port = port;
+  return record;
+}
+
+inline PlatformConfig small_config(std::vector<command_channel::Record> engines, std::uint16_t channel) {
+  PlatformConfig config;
+  config.name = "test";
+  config.listen = {INADDR_LOOPBACK, 0};
+  config.channel = {INADDR_LOOPBACK, channel};
+  config.limits = {64, 1024};
+  config.streams_per_channel = 32;
+  config.report_names = {"utilization"};
+  Settings& s = config.core.module;
+  s.instances = 1;
+  s.clock_step = 5ms;
+  ClassSettings report;
+  report.name = "report";
+  report.aim = 20s;
+  report.deadline = 20s;
+  report.worth = 1;
+  report.late_worth = 0.5;
+  report.threads = 1;
+  ClassSettings load = report;
+  load.name = "load";
+  load.repeat = Repeat::keyed;
+  load.key_window = 20s;
+  load.in_turn = true;
+  s.classes = {report, load};
+  s.kinds = {{8, 16384}};
+  s.may_cancel = s.may_probe = true;
+  s.most_attempts = 3;
+  s.drain_grace = 250ms;
+  s.cold_share = 0.3;
+  s.fall_multiple = 4;
+  s.fall_window = 1500ms;
+  config.core.links_per_engine = 512;
+  config.core.idle_links_per_engine = 0;
+  config.core.idle_link_life = 15s;
+  config.core.connect_time_out = 250ms;
+  config.core.probe_time_out = 250ms;
+  config.core.cancel_grace = 250ms;
+  command_channel::Event first;
+  first.number = 1;
+  first.whole = true;
+  first.records = std::move(engines);
+  config.known = {first};
+  config.cursor = 1;
+  return config;
+}
+
+class Served : public Thread<Platform> {
+ public:
+  explicit Served(PlatformConfig config, std::string path = "")
+      : Thread([&](auto& io) {
+          return std::make_unique<Platform>(io, std::move(config), std::move(path), false);
+        }) {}
+  std::uint16_t port() {
+    return run([](Platform& p) { return p.port(); });
+  }
+  core::Counts counts() {
+    return run([](Platform& p) { return p.counts(); });
+  }
+};
+
+}  // namespace paddlestand::platform::test
--- a/tests/service/service_desk.hpp
+++ b/tests/service/service_desk.hpp
@@ -10,57 +10,19 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/post.hpp>
-#include <functional>
-#include <future>
 #include <memory>
-#include <thread>
 
 #include "protocol/pg/frame.hpp"
 #include "protocol/pg/messages.hpp"
 #include "protocol/pg/sqlstate.hpp"
 #include "service/manager.hpp"
 #include "standin/server.hpp"
+#include "tests/hosted.hpp"
 
 namespace paddlestand::service::test {
 
 using namespace std::chrono_literals;
-
-// Long enough for any machine; nothing is asserted of how long things take.
-inline constexpr int patience_ms = 20000;
-
-template <typename Hosted>
-class Thread {
- public:
-  template <typename Make>
-  explicit Thread(Make make) : io_(1) {
-    hosted_ = make(io_);
-    hosted_->start();
-    thread_ = std::thread([this] { io_.run(); });
-  }
-  ~Thread() {
-    io_.stop();
-    thread_.join();
-    hosted_.reset();
-  }
-  Thread(const Thread&) = delete;
-  Thread& operator=(const Thread&) = delete;
-
-  template <typename F>
-  auto run(F f) {
-    std::promise<decltype(f(*hosted_))> done;
-    boost::asio::post(io_, [&] { done.set_value(f(*hosted_)); });
-    return done.get_future().get();
-  }
-  Hosted& operator*() { return *hosted_; }
-  Hosted* operator->() { return hosted_.get(); }
-
- private:
-  boost::asio::io_context io_;
-  std::unique_ptr<Hosted> hosted_;
-  std::thread thread_;
-};
+using namespace paddlestand::test;
 
 class Engine : public Thread<standin::Server> {
  public:
@@ -173,13 +135,4 @@
   side.next();  // its end
 }
 
-// Until it is so, or long has passed.
-inline bool comes_true(const std::function<bool()>& what) {
-  for (int i = 0; i < patience_ms / 5; ++i) {
-    if (what()) return true;
-    std::this_thread::sleep_for(5ms);
-  }
-  return false;
-}
-
 }  // namespace paddlestand::service::test
