After SIGTERM what is open is answered before the platform kills, not at the longest deadline

The log of one: leave at 13.06 s, left at 16.80 s, killed at 16.76 s; what was open then had up to 11.8 s of patience. Ruled out: arrivals after the listener closed (none logged, none turned away). Cause: Platform::leave gave the core the longest deadline as its grace, and the platform kills 3.7 s after the signal where deadlines are longer. Change: the grace ends 0.3 s before the kill; what is open is then refused where that is harmless, so that it can go elsewhere.

--- a/src/platform/platform.cpp
+++ b/src/platform/platform.cpp
@@ -29,6 +29,8 @@
 constexpr auto follow_connect = 500ms;
 constexpr auto follow_first_rest = 20ms, follow_longest_rest = 250ms;
 constexpr auto arrivals_after_term = 900ms;  // so long requests may still come after SIGTERM
+constexpr auto life_after_term = 3700ms;  // the platform kills no sooner; nor before the longest deadline and 0.7 s
+constexpr auto kill_margin = 300ms;  // before that, for last answers to leave
 constexpr auto flush_time = 300ms;  // for last answers, after all is over
 constexpr auto reload_rest = 100ms;  // before a file that can't be read is tried again
 constexpr auto tell_away_each = 1s;
@@ -622,9 +624,8 @@
   timer->async_wait([this, timer](const error_code&) {
     error_code ignored;
     acceptor_.close(ignored);
-    Duration longest{};
-    for (const ClassSettings& k : config_.core.module.classes) longest = std::max(longest, k.deadline);
-    tell(core::Leave{longest});
+    // What is open then is answered: found by the kill it would be lost, refused it can go elsewhere in time.
+    tell(core::Leave{life_after_term - kill_margin - arrivals_after_term});
   });
 }
 
