--- a/src/protocol/pg/scram.cpp
+++ b/src/protocol/pg/scram.cpp
@@ -1,7 +1,5 @@
 #include "scram.hpp"
 
-#include "protocol/base64.hpp"
-
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
 #include <openssl/hmac.h>
@@ -10,6 +8,8 @@
 #include <algorithm>
 #include <charconv>
 
+#include "protocol/base64.hpp"
+
 namespace paddlestand::pg {
 namespace {
 
