Bounds that a client could pass: forgets of nothing, statements together, unread answers

Cause, found by reading the change again: a forget of what was never open still counted one request less, so that more than 32 could be open on a connection; statements of open requests were bounded each but not together; what a client had not read was looked at only each 100 ms; a query taken back in the same read went to an engine all the same. Change: forgets count for what they name; such a query goes nowhere and is refused; statements of all open requests have an eighth of the memory; a client with 256 KiB unread is not read; frame readers give large buffers back; a broken file is logged once while it is read again.

--- a/src/platform/client.cpp
+++ b/src/platform/client.cpp
@@ -19,6 +19,7 @@
 constexpr std::size_t most_open = 32;  // requests on one connection, as the protocol has it
 constexpr std::size_t most_line = 96 * 1024;  // bytes of a request; the largest statement in base64 fits
 constexpr std::size_t read_at_once = 64 * 1024;  // bytes of one client in one turn of the loop
+constexpr std::size_t most_unread = 256 * 1024;  // of its answers; beyond it, the client is not read either
 constexpr auto silent_life = 2s;  // without a whole message, from the start
 constexpr auto idle_life = 6s;  // without an open request: clients close theirs after 4 s
 constexpr auto write_stall = 4s;  // a client that reads nothing
@@ -64,6 +65,10 @@
   const auto self = shared_from_this();
   while (!closed_ && !ending_) {
     error_code error;
+    if (backlog() > most_unread) {
+      co_await socket_.async_wait(tcp::socket::wait_write, asio::redirect_error(asio::use_awaitable, error));
+      continue;
+    }
     co_await socket_.async_wait(tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
     if (closed_ || ending_) co_return;
     const auto scratch = platform_.scratch().first(read_at_once);
@@ -101,12 +106,15 @@
 // All that came together is looked at before any of it is acted on: a client that sends what can't be taken
 // behind requests in good form, or takes back at once what it asks, costs the engines nothing.
 std::optional<jsonrpc::Problem> Client::wrong_among(const std::vector<jsonrpc::Message>& messages) const {
-  std::size_t open = open_.size();
+  std::map<std::int64_t, std::uint64_t> open;  // numbers and traces, as they would be
+  for (const auto& [id, session] : open_) open.emplace(id, platform_.trace_of(session).value_or(0));
   std::int64_t last = last_id_;
+  std::size_t bytes = 0;
   std::set<std::uint64_t> traces;
   for (const jsonrpc::Message& message : messages) {
     if (const auto* problem = std::get_if<jsonrpc::Problem>(&message)) return *problem;
-    if (std::holds_alternative<jsonrpc::Forget>(message) && open > 0) --open;
+    if (const auto* forget = std::get_if<jsonrpc::Forget>(&message))
+      std::erase_if(open, [&](const auto& one) { return forget->means(one.first, one.second); });
     const auto* query = std::get_if<jsonrpc::Query>(&message);
     if (query == nullptr) continue;
     const auto wrong = [&](jsonrpc::Code code, const char* text) {
@@ -116,21 +124,44 @@
       return wrong(jsonrpc::Code::invalid_request, "id; wanted: one that this connection has not used");
     if (platform_.trace_open(query->trace) || !traces.insert(query->trace).second)
       return wrong(jsonrpc::Code::invalid_params, "trace; wanted: one that is not open");
-    if (++open > most_open) return wrong(jsonrpc::Code::refused, "at most 32 requests are open at once");
+    open.emplace(query->id, query->trace);
+    if (open.size() > most_open) return wrong(jsonrpc::Code::refused, "at most 32 requests are open at once");
+    bytes += query->statement.size();
+    if (!platform_.room_for(bytes)) return wrong(jsonrpc::Code::refused, "no room for more statements");
     last = query->id;
   }
   return std::nullopt;
 }
 
+// Queries that their client took back in the same breath: they go nowhere.
+std::vector<jsonrpc::Query> Client::taken_back(std::vector<jsonrpc::Message>& messages) const {
+  std::vector<jsonrpc::Query> back;
+  for (std::size_t i = 0; i < messages.size(); ++i) {
+    const auto* forget = std::get_if<jsonrpc::Forget>(&messages[i]);
+    if (forget == nullptr) continue;
+    for (std::size_t before = 0; before < i; ++before) {
+      auto* query = std::get_if<jsonrpc::Query>(&messages[before]);
+      if (query == nullptr || !forget->means(query->id, query->trace)) continue;
+      back.push_back(std::move(*query));
+      messages[before] = jsonrpc::Forget{};  // of nothing
+    }
+  }
+  return back;
+}
+
 void Client::take(std::vector<jsonrpc::Message> messages) {
   if (messages.empty()) return;
   used_ = platform_.reading();
   if (const auto wrong = wrong_among(messages)) return turn_away(messages, *wrong);
   spoke_ = true;
+  for (const jsonrpc::Query& query : taken_back(messages)) {
+    last_id_ = std::max(last_id_, query.id);
+    jsonrpc::put_error(out_, query.id, jsonrpc::Code::refused, "taken back before it was asked");
+  }
   for (jsonrpc::Message& message : messages) {
     if (closed_) return;
     if (auto* query = std::get_if<jsonrpc::Query>(&message)) {
-      last_id_ = query->id;
+      last_id_ = std::max(last_id_, query->id);
       const std::int64_t id = query->id;
       const core::SessionId session = platform_.next_session();
       open_.emplace(id, session);
@@ -139,11 +170,11 @@
       // Letting one go may have others answered at once: nothing points into the table meanwhile.
       std::vector<core::SessionId> gone;
       std::erase_if(open_, [&](const auto& one) {
-        const bool meant = forget->request == one.first ||
-                           (forget->trace && platform_.trace_of(one.second) == forget->trace);
+        const bool meant = forget->means(one.first, platform_.trace_of(one.second).value_or(0));
         if (meant) gone.push_back(one.second);
         return meant;
       });
+      platform_.forgotten(gone.size());
       for (const core::SessionId session : gone) platform_.let_go(session);
       if (forget->id) jsonrpc::put_done(out_, *forget->id);
     } else if (const auto* well = std::get_if<jsonrpc::WellAsked>(&message)) {
--- a/src/platform/client.hpp
+++ b/src/platform/client.hpp
@@ -38,6 +38,7 @@
   boost::asio::awaitable<void> read();
   boost::asio::awaitable<void> write_on();
   std::vector<jsonrpc::Message> whole_messages();
+  std::vector<jsonrpc::Query> taken_back(std::vector<jsonrpc::Message>& messages) const;
   void take(std::vector<jsonrpc::Message> messages);
   [[nodiscard]] std::optional<jsonrpc::Problem> wrong_among(
       const std::vector<jsonrpc::Message>& messages) const;
--- a/src/platform/platform.cpp
+++ b/src/platform/platform.cpp
@@ -114,7 +114,7 @@
       worst = client;
   }
   if (!worst) return false;
-  ++clients_shed_;
+  turned_away(*worst, {std::nullopt, jsonrpc::Code::refused, "closed, idle, to make room"});
   worst->close();
   return true;
 }
@@ -152,6 +152,7 @@
                           " patience_ms " + std::to_string(arrived.patience.count() / 1000000) + " key " +
                           hex(arrived.order_key));
   traces_.insert(request.trace);
+  statement_bytes_ += request.statement.size();
   requests_.emplace(session, std::move(request));
   tell(core::SessionOpened{session});
   tell(arrived);
@@ -164,6 +165,10 @@
   tell(core::SessionClosed{session});
 }
 
+void Platform::forgotten(std::size_t requests) {
+  if (trace_) log_.info("forgotten", std::to_string(requests) + " requests");
+}
+
 void Platform::turned_away(const Client& client, const jsonrpc::Problem& problem) {
   ++turned_away_;
   if (now() < told_away_ + tell_away_each) return;
@@ -191,6 +196,7 @@
   const Request request = std::move(found->second);
   requests_.erase(found);
   traces_.erase(request.trace);
+  statement_bytes_ -= request.statement.size();
   if (request.let_go) return;
   tell(core::SessionClosed{effect.session});
   std::string line;
@@ -298,7 +304,6 @@
   // One id is one stream on a channel: what came for an earlier attempt must not pass for a later one's.
   if (stream.channel->closed() || stream.channel->carries(request.trace)) return core::Written::failed;
   stream.id = request.trace;
-  stream.query = effect.query;
   stream.sent = true;
   stream.at = now();
   std::string frame;
@@ -593,7 +598,8 @@
 void Platform::reload() {
   auto read = read_config(config_path_);
   if (const auto* problem = std::get_if<Problem>(&read)) {
-    log_.error("reload", problem->text + "; nothing is changed, it is read again soon");
+    if (!reload_failed_) log_.error("reload", problem->text + "; nothing is changed, it is read again soon");
+    reload_failed_ = true;
     if (reload_again_) return;
     reload_again_ = true;
     auto timer = std::make_shared<asio::steady_timer>(io_, reload_rest);
@@ -603,6 +609,7 @@
     });
     return;
   }
+  reload_failed_ = false;
   const auto& fresh = std::get<PlatformConfig>(read);
   bool gap = false;
   for (const command_channel::Event& event : fresh.known) apply(event, gap);
--- a/src/platform/platform.hpp
+++ b/src/platform/platform.hpp
@@ -40,6 +40,7 @@
 
   [[nodiscard]] std::size_t clients() const { return clients_.size(); }
   [[nodiscard]] std::size_t channels() const { return channel_count_; }
+  [[nodiscard]] std::size_t engines() const { return fleet_.size(); }
   [[nodiscard]] std::uint64_t last_event() const { return fleet_.last(); }
 
   // ---- For clients ----
@@ -53,6 +54,8 @@
   void ask(const std::shared_ptr<Client>& client, core::SessionId session, jsonrpc::Query query);
   void let_go(core::SessionId session);  // its client waits no longer
   void client_gone(const Client& client) { clients_.erase(client.number()); }
+  [[nodiscard]] bool room_for(std::size_t bytes) const { return statement_bytes_ + bytes <= most_backlog_; }
+  void forgotten(std::size_t requests);
   void turned_away(const Client& client, const jsonrpc::Problem& problem);
 
   // ---- For channels ----
@@ -79,7 +82,6 @@
     std::shared_ptr<Channel> channel;
     std::uint64_t id = 0;
     bool sent = false, ended = false;
-    core::QueryId query = 0;
     TimePoint at{};  // sent, or the last page
     PagedAnswer answer;
   };
@@ -132,10 +134,11 @@
   Fleet fleet_;
   std::size_t most_clients_ = 0, most_channels_ = 0;
   std::size_t most_backlog_ = 0;
+  std::size_t statement_bytes_ = 0;  // of the requests that are open
   std::uint64_t last_client_ = 0, last_session_ = 0, last_probe_ = 0;
-  std::uint64_t turned_away_ = 0, clients_shed_ = 0;
+  std::uint64_t turned_away_ = 0;
   TimePoint told_away_{};
-  bool listening_ = false, told_ = false, terminated_ = false, reload_again_ = false;
+  bool listening_ = false, told_ = false, terminated_ = false, reload_again_ = false, reload_failed_ = false;
 };
 
 }  // namespace paddlestand::platform
--- a/src/protocol/engine_frames/frames.cpp
+++ b/src/protocol/engine_frames/frames.cpp
@@ -62,6 +62,7 @@
   const std::string_view left = std::string_view(bytes_).substr(at_);
   if (left.empty()) {
     bytes_.clear();
+    if (bytes_.capacity() > 4 * most_page) bytes_.shrink_to_fit();  // there are hundreds of readers
     at_ = 0;
     return {};
   }
--- a/src/protocol/jsonrpc/calls.hpp
+++ b/src/protocol/jsonrpc/calls.hpp
@@ -42,6 +42,10 @@
   std::optional<std::int64_t> id;  // of this message, where it wants an answer itself
   std::optional<std::int64_t> request;
   std::optional<std::uint64_t> trace;
+
+  [[nodiscard]] bool means(std::int64_t open_request, std::uint64_t open_trace) const {
+    return request == open_request || trace == open_trace;
+  }
 };
 struct WellAsked {
   std::int64_t id{};
--- a/tests/core/conductor_test.cpp
+++ b/tests/core/conductor_test.cpp
@@ -394,23 +394,6 @@
 
 // Where nothing can be sent, arrivals are all that a watch hears of: its account must not grow by them.
 TEST(Promises, AccountDoesNotGrowWhileNothingIsSent) {
-  class Entries final : public StateVisitor {
-   public:
-    void clock(double&) override {}
-    void number(double&) override {}
-    void whole(std::uint64_t&) override {}
-    void since(double&) override {}
-    void until(double&) override {}
-    void name(Name, std::uint64_t&) override {}
-    void generator(std::mt19937_64&) override {}
-    std::size_t table(std::size_t entries, bool) override {
-      all += entries;
-      return entries;
-    }
-    void entry() override {}
-    void end() override {}
-    std::size_t all = 0;
-  };
   CoreSettings settings = small_core();
   settings.module.attempt_budget = AttemptBudget{1, 0, 1s};
   Promises watch(settings);
--- a/tests/core/core_desk.hpp
+++ b/tests/core/core_desk.hpp
@@ -60,6 +60,26 @@
   return {id, state, 0, 0, 0, 1.0, started};
 }
 
+// Counts what is kept: the entries of all tables, the module's included.
+class Entries : public StateVisitor {
+ public:
+  void clock(double&) override {}
+  void number(double&) override {}
+  void whole(std::uint64_t&) override {}
+  void since(double&) override {}
+  void until(double&) override {}
+  void name(Name, std::uint64_t&) override {}
+  void generator(std::mt19937_64&) override {}
+  std::size_t table(std::size_t entries, bool) override {
+    all += entries;
+    return entries;
+  }
+  void entry() override {}
+  void end() override {}
+
+  std::size_t all = 0;
+};
+
 class CoreDesk {
  public:
   explicit CoreDesk(CoreSettings settings = small_core()) : conductor_(std::move(settings)) {}
--- a/tests/core/level_test.cpp
+++ b/tests/core/level_test.cpp
@@ -7,26 +7,6 @@
 namespace paddlestand::core::test {
 namespace {
 
-// Counts what is kept: the entries of all tables, the module's included.
-class Entries : public StateVisitor {
- public:
-  void clock(double&) override {}
-  void number(double&) override {}
-  void whole(std::uint64_t&) override {}
-  void since(double&) override {}
-  void until(double&) override {}
-  void name(Name, std::uint64_t&) override {}
-  void generator(std::mt19937_64&) override {}
-  std::size_t table(std::size_t entries, bool) override {
-    all += entries;
-    return entries;
-  }
-  void entry() override {}
-  void end() override {}
-
-  std::size_t all = 0;
-};
-
 TEST(Level, GenerationsOfEnginesAndKeysLeaveNothingBehind) {
   CoreSettings settings = small_core();
   settings.idle_links_per_engine = 0;
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -192,6 +192,57 @@
   EXPECT_EQ(usual.outcome(), "served:a\tb\tc\n");
 }
 
+TEST_F(Platforms, WhatIsTakenBackInTheSameBreathReachesNoEngineAndMakesNoRoom) {
+  Served served(config());
+  const auto forget = [](const std::string& trace) {
+    return R"({"jsonrpc":"2.0","method":"forget","params":{"trace":")" + trace + "\"}}\n";
+  };
+  std::string back, unknown;
+  for (int i = 1; i <= 100; ++i) {
+    char trace[17];
+    std::snprintf(trace, sizeof(trace), "%016x", 0x700 + i);
+    back += RawClient::line(i, 0x700U + static_cast<unsigned>(i)) + forget(trace);
+    unknown += RawClient::line(i, 0x800U + static_cast<unsigned>(i)) + forget("00000000000fffff");
+  }
+  RawClient taking(served.port());
+  taking.wire().write(back.substr(0, back.find("\n", back.find("forget")) + 1));
+  EXPECT_EQ(taking.outcome(), "error:-32001");
+  RawClient flood(served.port());  // forgets of what is not open make no room for more than 32
+  flood.wire().write(unknown);
+  EXPECT_EQ(flood.outcome(), "error:-32001");
+  EXPECT_TRUE(flood.wire().ends());
+  EXPECT_EQ(served.counts().sessions, 0U);
+  EXPECT_FALSE(EngineSide(engines_[0], 0).open());
+}
+
+TEST_F(Platforms, StatementsOfOpenRequestsAreBoundedTogether) {
+  PlatformConfig settings = config();
+  settings.limits.memory_mb = 1;  // 128 KiB of statements
+  Served served(std::move(settings));
+  const std::string large = "\"content\":\"" + base64("SELECT '" + std::string(60'000, 'x') + "'") + "\"";
+  const auto line = [&](std::uint64_t trace) {
+    std::string text = RawClient::line(1, trace);
+    const auto from = text.find("\"content\"");
+    return text.replace(from, text.find("}}", from) - from, large);
+  };
+  RawClient first(served.port()), second(served.port()), third(served.port());
+  first.wire().write(line(0x31));
+  EngineSide one(engines_[0]);
+  ASSERT_TRUE(one.next());
+  second.wire().write(line(0x32));
+  EngineSide two(engines_[0]);
+  ASSERT_TRUE(two.next());
+  third.wire().write(line(0x33));
+  EXPECT_EQ(third.outcome(), "error:-32001");
+  one.answer(0, 0x31, "parts=1", "a\tb\tc\n");
+  EXPECT_EQ(first.outcome(), "served:a\tb\tc\n");
+  RawClient fourth(served.port());  // there is room again
+  fourth.wire().write(line(0x34));
+  ASSERT_TRUE(one.next());
+  one.answer(0, 0x34, "parts=1", "d\te\tf\n");
+  EXPECT_EQ(fourth.outcome(), "served:d\te\tf\n");
+}
+
 TEST_F(Platforms, AnOpenRequestIsNotHarmedByAnotherClientsUseOfItsTrace) {
   Served served(config());
   RawClient usual(served.port()), other(served.port());
@@ -351,6 +402,53 @@
   ::unlink(path.c_str());
 }
 
+TEST_F(Platforms, AReloadFindsTheNewCommandChannelWhileTheOldOneIsDown) {
+  const std::string path = ::testing::TempDir() + "paddlestand-down-" + std::to_string(::getpid()) + ".json";
+  PlatformConfig settings = config();
+  {
+    Listener down;  // its port is nobody's once it is gone
+    settings.channel.port = down.port();
+  }
+  Served served(std::move(settings), path);
+  Listener fresh;
+  std::ofstream(path) << R"({"name":"n","listen":"127.0.0.1:1","seed":"1","channel":"127.0.0.1:)"
+                      << fresh.port()
+                      << R"(","known":{"cursor":1,"cmds":[]},"settings":{"classes":[{"name":"report",)"
+                      << R"("repeat":"pure"}],"permissions":{"multiplex":32,"conn_idle_ns":0,)"
+                      << R"("dial_timeout_ns":0}}})";
+  served.run([](Platform& p) { return p.reload(), 0; });
+  Told told(fresh);
+  EXPECT_EQ(told.from, 1U);
+  told.event(2, {engine_at(9, engines_[0].port())});
+  EXPECT_TRUE(comes_true([&] { return served.run([](Platform& p) { return p.last_event(); }) == 2; }));
+  ::unlink(path.c_str());
+}
+
+// New ids at one address, one after another, each with a request of its own.
+TEST_F(Platforms, GenerationsOfEnginesLeaveNoChannelAndNoAddress) {
+  Served served(config());
+  Told told(channel_);
+  RawClient client(served.port());
+  std::uint64_t number = 1;
+  told.event(++number, {engine_at(1, engines_[0].port(), EngineState::gone)});
+  for (EngineId generation = 2; generation < 62; ++generation) {
+    told.event(++number, {engine_at(generation, engines_[0].port())});
+    ASSERT_TRUE(comes_true([&] { return served.run([](Platform& p) { return p.last_event(); }) == number; }));
+    client.ask(static_cast<int>(generation), 0x4000U + generation);
+    EngineSide engine(engines_[0]);  // a channel of its own: the last one's was another engine's
+    const auto request = engine.next();
+    ASSERT_TRUE(request) << generation;
+    engine.answer(0, request->id, "parts=1", "a\tb\tc\n");
+    ASSERT_EQ(client.outcome(), "served:a\tb\tc\n") << generation;
+    told.event(++number, {engine_at(generation, engines_[0].port(), EngineState::gone)});
+    ASSERT_TRUE(engine.wire().ends()) << generation;
+  }
+  EXPECT_TRUE(comes_true([&] { return served.run([](Platform& p) { return p.channels(); }) == 0; }));
+  EXPECT_EQ(served.run([](Platform& p) { return p.engines(); }), 0U);
+  EXPECT_EQ(served.counts().links, 0U);
+  EXPECT_EQ(served.counts().sessions, 0U);
+}
+
 // ---- Leaving ----
 
 TEST_F(Platforms, AfterTermWhatStillComesIsAnsweredAndThenItEnds) {
