A tenant's requests count as that tenant's; all JSON numbers and all class names are read

The front read no such member: QueryArrived.tenant stayed 0, so all traffic was charged to the first tenant's quota (Platform::ask, read_query). An id written 7.0 or 7e0 was refused as no number (id_of asked for an int64 only), though JSON knows one kind of number. put_scalar writes spaces and commas of a name as underscores, so that a class named so could not be asked for.

Ruled out: escapes, order of members, spaces, further members: read alike before and after (the same test).

Change: CallReader knows the tenants and reads the name; an unknown one is told as invalid, none counts as none. Ids are read by to_number. Names of classes and tenants are taken as the configuration has them.

Tests that fail without it: Calls.ATenantIsReadByItsName ("Which is: (0) / Which is: 1"), Calls.EveryFormOfOneMessageIsReadAlike (no query for the id 7.0).

--- a/src/platform/config.cpp
+++ b/src/platform/config.cpp
@@ -109,6 +109,13 @@
   out += "\n";
 }
 
+void take_names(auto& items, const json::object& settings, std::string_view list) {
+  const json::value* all = settings.if_contains(list);
+  for (std::size_t i = 0; i < items.size() && all != nullptr && all->is_array(); ++i)
+    if (i < all->get_array().size() && all->get_array()[i].is_object())
+      items[i].name = text_in(all->get_array()[i].get_object(), "name");
+}
+
 // ---- Known events ----
 
 std::uint32_t place_in(const json::object& settings, std::string_view list, const json::value& named) {
@@ -202,6 +209,9 @@
   auto& known = std::get<config::ParsedSettings>(read);
   if (known.settings.classes.empty()) throw Fault{"settings: classes; wanted: one or more"};
   config.core.module = std::move(known.settings);
+  // Clients and engines use the names as they are told here; the lines keep no spaces and no commas.
+  take_names(config.core.module.classes, settings, "classes");
+  take_names(config.core.module.tenants, settings, "tenants");
   config.report_names = std::move(known.report_names);
 
   const std::string seed = text_in(top, "seed");
--- a/src/platform/platform.cpp
+++ b/src/platform/platform.cpp
@@ -60,7 +60,7 @@
       config_(std::move(config)),
       config_path_(std::move(config_path)),
       trace_(trace),
-      calls_(config_.core.module.classes),
+      calls_(config_.core.module.classes, config_.core.module.tenants),
       acceptor_(io),
       signals_(io, SIGTERM, SIGINT, SIGHUP),
       follow_rest_(io) {
@@ -137,6 +137,7 @@
   arrived.session = session;
   arrived.query = session;
   arrived.class_index = query.class_index;
+  arrived.tenant = query.tenant;
   arrived.order_key = query.order_key;
   arrived.patience = query.patience;
   arrived.told_cost = query.cost;
--- a/src/protocol/jsonrpc/calls.cpp
+++ b/src/protocol/jsonrpc/calls.cpp
@@ -44,17 +44,21 @@
 
 Duration milliseconds(double value) { return Duration{std::llround(value * 1e6)}; }
 
-// Ids count from 1.
+// Ids count from 1. JSON knows one kind of number: 7.0 and 7e0 are 7.
 std::optional<std::int64_t> id_of(const json::value* value) {
-  if (value == nullptr || !value->is_int64() || value->get_int64() < 1) return std::nullopt;
-  return value->get_int64();
+  if (value == nullptr) return std::nullopt;
+  json::error_code error;
+  const auto id = value->is_number() ? value->to_number<std::int64_t>(error) : 0;
+  if (error || id < 1) return std::nullopt;
+  return id;
 }
 
 Problem problem(std::optional<std::int64_t> id, Code code, std::string text) {
   return {id, code, std::move(text)};
 }
 
-Message read_query(std::int64_t id, std::uint32_t index, const ClassSettings& k, const json::object& params) {
+Message read_query(std::int64_t id, std::uint32_t index, const ClassSettings& k,
+                   const std::vector<TenantSettings>& tenants, const json::object& params) {
   const auto wrong = [&](const char* wanted) { return problem(id, Code::invalid_params, wanted); };
   Query query;
   query.id = id;
@@ -89,6 +93,15 @@
     if (!memory) return wrong("need_mb; wanted: megabytes");
     query.memory_mb = *memory;
   }
+  query.tenant = static_cast<std::uint32_t>(tenants.size());  // none
+  if (value = params.if_contains("customer"); value != nullptr && !tenants.empty()) {
+    const auto named = value->is_string()
+                           ? std::find_if(tenants.begin(), tenants.end(),
+                                          [&](const auto& t) { return value->get_string() == t.name; })
+                           : tenants.end();
+    if (named == tenants.end()) return wrong("customer; wanted: one of the settings' tenants");
+    query.tenant = static_cast<std::uint32_t>(named - tenants.begin());
+  }
   if (k.in_turn) {
     const auto key = hex_number(params.if_contains("entity"));
     if (!key) return wrong("entity; wanted: 16 hex digits");
@@ -145,7 +158,8 @@
     return problem(id, Code::unknown_method, "method; wanted: a class, forget or isWell");
   if (params == nullptr || !params->is_object())
     return problem(id, Code::invalid_params, "params; wanted: an object");
-  return read_query(*id, static_cast<std::uint32_t>(found - classes_.begin()), *found, params->get_object());
+  return read_query(*id, static_cast<std::uint32_t>(found - classes_.begin()), *found, tenants_,
+                    params->get_object());
 }
 
 void LineCutter::feed(std::string_view bytes) {
--- a/src/protocol/jsonrpc/calls.hpp
+++ b/src/protocol/jsonrpc/calls.hpp
@@ -29,6 +29,7 @@
 struct Query {
   std::int64_t id{};
   std::uint32_t class_index{};
+  std::uint32_t tenant{};  // its place in the settings; behind the last: none
   std::uint64_t trace{};
   Duration patience{};
   bool repeated{};
@@ -57,14 +58,22 @@
 };
 using Message = std::variant<Query, Forget, WellAsked, Problem>;
 
-// Reads messages of clients that ask for these classes. The settings must outlive it.
+// Reads messages of clients that ask for these classes, for these tenants. The settings must outlive it.
 class CallReader {
  public:
-  explicit CallReader(const std::vector<ClassSettings>& classes) : classes_(classes) {}
+  explicit CallReader(const std::vector<ClassSettings>& classes,
+                      const std::vector<TenantSettings>& tenants = none())
+      : classes_(classes), tenants_(tenants) {}
   [[nodiscard]] Message read(std::string_view line) const;
 
  private:
+  static const std::vector<TenantSettings>& none() {
+    static const std::vector<TenantSettings> nobody;
+    return nobody;
+  }
+
   const std::vector<ClassSettings>& classes_;
+  const std::vector<TenantSettings>& tenants_;
 };
 
 // Cuts what comes into lines. It keeps at most one unfinished line, and no more than `most` bytes of it.
--- a/tests/platform/protocol_test.cpp
+++ b/tests/platform/protocol_test.cpp
@@ -47,6 +47,51 @@
 }
 const std::string trace = R"("trace":"9b1f03aa5c7e2d41")", body = R"("content":"U0VMRUNUIDE=")";
 
+TEST(Calls, EveryFormOfOneMessageIsReadAlike) {
+  const auto all = classes();
+  const jsonrpc::CallReader reader(all);
+  const std::string key = R"("trace":"9b1f03aa5c7e2d41","patience":1500,"content":"U0VMRUNUIDE=")";
+  for (const std::string& line : std::vector<std::string>{
+           report("7", key),
+           report("7.0", key),
+           report("7e0", key),
+           report("70e-1", key),
+           report(" 7 ", key),
+           "\t { \"params\" : {" + key +
+               "} , \"method\" : \"report\" , \"id\" : 7 , \"jsonrpc\" : \"2.0\" } \r",
+           R"({"m\u0065thod":"re\u0070ort","id":7,"jsonrpc":"2\u002e0","params":{)" + key + "}}",
+           report("7", R"("content":"U0VMRUNUIDE\u003d","patience":1.5e3,"trace":"9b1f03aa5c7e2d\u00341")"),
+           report("7", key + R"(,"further":{"a":[1,null,true]})"),
+       }) {
+    const auto message = reader.read(line);
+    const auto* query = std::get_if<jsonrpc::Query>(&message);
+    ASSERT_NE(query, nullptr) << line;
+    EXPECT_EQ(query->id, 7) << line;
+    EXPECT_EQ(query->trace, 0x9b1f03aa5c7e2d41U) << line;
+    EXPECT_EQ(query->patience, 1500ms) << line;
+    EXPECT_EQ(query->statement, "SELECT 1") << line;
+  }
+  for (const char* id : {"7.5", "-7", "0", "1e300", "\"7\"", "null", "[7]"})
+    EXPECT_TRUE(std::holds_alternative<jsonrpc::Problem>(reader.read(report(id, key)))) << id;
+}
+
+TEST(Calls, ATenantIsReadByItsName) {
+  const auto all = classes();
+  const std::vector<TenantSettings> tenants{{"north-quay", 5}, {"dry-dock-9", 5}};
+  const jsonrpc::CallReader reader(all, tenants);
+  const std::string key = R"("trace":"9b1f03aa5c7e2d41","patience":1500,"content":"U0VMRUNUIDE=")";
+  const auto tenant = [&](const std::string& more) -> std::optional<std::uint32_t> {
+    const auto message = reader.read(report("7", key + more));
+    const auto* query = std::get_if<jsonrpc::Query>(&message);
+    return query == nullptr ? std::nullopt : std::optional(query->tenant);
+  };
+  EXPECT_EQ(tenant(R"(,"customer":"north-quay")"), 0U);
+  EXPECT_EQ(tenant(R"(,"customer":"dry-dock-9")"), 1U);
+  EXPECT_EQ(tenant(""), 2U);  // none
+  EXPECT_EQ(tenant(R"(,"customer":"nobody")"), std::nullopt);
+  EXPECT_EQ(tenant(R"(,"customer":1)"), std::nullopt);
+}
+
 TEST(Calls, AQueryIsReadWhole) {
   const auto all = classes();
   const jsonrpc::CallReader reader(all);
