Client connections end by shutdown and linger; leaving follows the settings' deadlines

Seen, each by a test that forces the order on real connections, run against the former sources with only the test's hooks added; quoted is what failed there: - Client::close closed over unread bytes and reset the connection (ECONNRESET behind the answer): Ends.AConnectionThatIsTurnedAwayOverUnreadBytesIsShutDownAndNotReset, Ends.ARequestBehindTheShutdownIsDropped... - a client whose backlog passed 256 KiB was not read: its forget was not heard, its request went on (no give-up at the engine): Ends.AForgetIsHeardBehindAnswersThatAreNotRead - a request and the client's end that were there together: the request was sent on first ("Which is: 70"): Ends.NothingIsSentForAClientThatAskedAndWentInOneBreath - the listener closed over connections that the kernel had accepted, and accept_on dropped one that was accepted in that very turn: Leaves.AConnectionThatTheLoopHasNotSeen..., Leaves.AConnectionAcceptedInTheTurnOfTheClose... - after the last answer the process ended 300 ms later under open connections: a request on one was lost or reset: Leaves.RestingConnectionsAreShutDownAndTheProcessEndsWhenTheyAreClosed - the time until the kill was a fixed 3.7 s: with deadlines of 0.4 s a hung request was still open when the kill comes at 1.1 s: Leaves.TheTimeToLeaveFollows...

Cleared: nothing is sent for a client that leaves while the engine's connection opens (passes on the former sources too); the paused reading did not spin (wait_write and the writer took turns), it only missed what came.

Change: a connection ends by shutdown of our side; what still comes is read and dropped, 1 s and 256 KiB at most. Reading is never paused; instead a client is owed no more than the protocol's 32 answers that it has not read. All that is here is read before any of it is acted on. SIGTERM: 0.7 s of arrivals, then the kernel's queue is taken and answered, the longest deadline (3 s counted at most) and 0.7 s more are the time until the kill, 0.3 s of it for last answers; resting connections are shut down, and the process ends when all clients have closed.

--- a/src/platform/client.cpp
+++ b/src/platform/client.cpp
@@ -19,11 +19,14 @@
 constexpr std::size_t most_open = 32;  // requests on one connection, as the protocol has it
 constexpr std::size_t most_line = 96 * 1024;  // bytes of a request; the largest statement in base64 fits
 constexpr std::size_t read_at_once = 64 * 1024;  // bytes of one client in one turn of the loop
-constexpr std::size_t most_unread = 256 * 1024;  // of its answers; beyond it, the client is not read either
+constexpr std::size_t most_unwritten = 4 * most_open;  // lines for a client that does not read them
 constexpr auto silent_life = 2s;  // without a whole message, from the start
 constexpr auto idle_life = 6s;  // without an open request: clients close theirs after 4 s
 constexpr auto write_stall = 4s;  // a client that reads nothing
-constexpr auto half_line = 2s;  // for the rest of a message that began
+constexpr auto half_line = 2s;  // without a byte of the rest of a message that began
+constexpr auto whole_line = 6s;  // for all of a message: a slow writer is not a silent one
+constexpr auto linger_life = 1s;  // for the client to close after our side was shut down
+constexpr std::size_t most_dropped = 256 * 1024;  // bytes read and dropped meanwhile
 
 bool would_block(const error_code& error) {
   return error == asio::error::would_block || error == asio::error::try_again;
@@ -33,7 +36,7 @@
 
 Client::Client(Platform& platform, tcp::socket socket, std::uint64_t number)
     : platform_(platform), socket_(std::move(socket)), number_(number), lines_(most_line) {
-  accepted_ = used_ = progress_ = platform.reading();
+  accepted_ = heard_ = used_ = progress_ = platform.reading();
   error_code ignored;
   socket_.set_option(tcp::no_delay(true), ignored);
   socket_.non_blocking(true, ignored);
@@ -45,8 +48,8 @@
 }
 
 void Client::close() {
-  if (closed_) return;
-  closed_ = true;
+  if (closed()) return;
+  phase_ = Phase::closed;
   error_code ignored;
   socket_.close(ignored);
   std::map<std::int64_t, core::SessionId> open;
@@ -55,40 +58,72 @@
   platform_.client_gone(*this);
 }
 
-// What was said is sent on before the connection ends; what still comes is not read.
-void Client::end() {
-  ending_ = true;
-  if (out_.size() == written_) close();
+// What was said is sent on before the connection ends; what still comes is not acted on.
+void Client::finish() {
+  if (!open()) return;
+  phase_ = Phase::ending;
+  ended_ = platform_.reading();
+  if (out_.size() == written_) linger();
+}
+
+// A request that is here already is read and answered first: dropped, it would have had no answer.
+void Client::finish_if_idle() {
+  if (open() && idle() && !inside_since_ && !speaks()) finish();
+}
+
+// Closing over unread bytes resets the connection, and the last answer may go with it.
+void Client::linger() {
+  phase_ = Phase::lingering;
+  ended_ = platform_.reading();
+  error_code error;
+  socket_.shutdown(tcp::socket::shutdown_send, error);
+  if (error) close();
+}
+
+bool Client::speaks() const {
+  error_code error;
+  return !closed() && socket_.available(error) > 0;
+}
+
+void Client::drop(std::size_t bytes) {
+  dropped_ += bytes;
+  platform_.dropped(bytes);
+  if (dropped_ > most_dropped) close();
 }
 
 asio::awaitable<void> Client::read() {
   const auto self = shared_from_this();
-  while (!closed_ && !ending_) {
+  while (!closed()) {
     error_code error;
-    if (backlog() > most_unread) {
-      co_await socket_.async_wait(tcp::socket::wait_write, asio::redirect_error(asio::use_awaitable, error));
-      continue;
-    }
     co_await socket_.async_wait(tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
-    if (closed_ || ending_) co_return;
-    const auto scratch = platform_.scratch().first(read_at_once);
+    if (closed()) co_return;
+    // What is here is read to its end before any of it is acted on, a turn's worth at most: who sends much
+    // and goes has gone, and nothing of it is begun.
     std::size_t got = 0;
-    if (!error) got = socket_.read_some(asio::buffer(scratch.data(), scratch.size()), error);
-    if (would_block(error)) continue;
-    if (error || got == 0) {
+    while (!error && got < read_at_once) {
+      const auto scratch = platform_.scratch().first(read_at_once - got);
+      const std::size_t more = socket_.read_some(asio::buffer(scratch.data(), scratch.size()), error);
+      if (error) break;
+      got += more;
+      open() ? lines_.feed({scratch.data(), more}) : drop(more);
+      if (closed()) co_return;
+    }
+    if (error && !would_block(error)) {
       close();
       co_return;
     }
-    lines_.feed({scratch.data(), got});
-    take(whole_messages());
-    if (closed_ || ending_) co_return;
-    if (!lines_.inside()) {
-      inside_since_.reset();
-    } else if (!inside_since_) {
-      inside_since_ = platform_.reading();
+    if (got == 0) continue;
+    heard_ = platform_.reading();
+    if (open()) {
+      take(whole_messages());
+      if (!lines_.inside()) {
+        inside_since_.reset();
+      } else if (!inside_since_) {
+        inside_since_ = heard_;
+      }
     }
     // Who sends without end has its turn, and the others theirs.
-    if (got == read_at_once) co_await asio::post(platform_.io(), asio::use_awaitable);
+    if (!closed() && got == read_at_once) co_await asio::post(platform_.io(), asio::use_awaitable);
   }
 }
 
@@ -108,6 +143,8 @@
 std::optional<jsonrpc::Problem> Client::wrong_among(const std::vector<jsonrpc::Message>& messages) const {
   std::map<std::int64_t, std::uint64_t> open;  // numbers and traces, as they would be
   for (const auto& [id, session] : open_) open.emplace(id, platform_.trace_of(session).value_or(0));
+  if (unwritten_.size() + messages.size() > most_unwritten && !unwritten_.empty())
+    return jsonrpc::Problem{std::nullopt, jsonrpc::Code::refused, "answers are not read"};
   std::int64_t last = last_id_;
   std::size_t bytes = 0;
   std::set<std::uint64_t> traces;
@@ -125,7 +162,9 @@
     if (platform_.trace_open(query->trace) || !traces.insert(query->trace).second)
       return wrong(jsonrpc::Code::invalid_params, "trace; wanted: one that is not open");
     open.emplace(query->id, query->trace);
-    if (open.size() > most_open) return wrong(jsonrpc::Code::refused, "at most 32 requests are open at once");
+    // To a client a request is open until it has read the answer: one that goes on asking does not read.
+    if (open.size() + unwritten_answers_ > most_open)
+      return wrong(jsonrpc::Code::refused, "at most 32 requests are open at once");
     bytes += query->statement.size();
     if (!platform_.room_for(bytes)) return wrong(jsonrpc::Code::refused, "no room for more statements");
     last = query->id;
@@ -157,9 +196,10 @@
   for (const jsonrpc::Query& query : taken_back(messages)) {
     last_id_ = std::max(last_id_, query.id);
     jsonrpc::put_error(out_, query.id, jsonrpc::Code::refused, "taken back before it was asked");
+    said(false);
   }
   for (jsonrpc::Message& message : messages) {
-    if (closed_) return;
+    if (!open()) return;
     if (auto* query = std::get_if<jsonrpc::Query>(&message)) {
       last_id_ = std::max(last_id_, query->id);
       const std::int64_t id = query->id;
@@ -176,9 +216,10 @@
       });
       platform_.forgotten(gone.size());
       for (const core::SessionId session : gone) platform_.let_go(session);
-      if (forget->id) jsonrpc::put_done(out_, *forget->id);
+      if (forget->id) jsonrpc::put_done(out_, *forget->id), said(false);
     } else if (const auto* well = std::get_if<jsonrpc::WellAsked>(&message)) {
       jsonrpc::put_well(out_, well->id, platform_.green());
+      said(false);
     }
   }
   flush();
@@ -189,7 +230,6 @@
   platform_.turned_away(*this, problem);
   std::map<std::int64_t, core::SessionId> open;
   open.swap(open_);
-  ending_ = true;
   std::set<std::int64_t> told;
   const auto tell = [&](std::optional<std::int64_t> id, jsonrpc::Code code, const std::string& text) {
     if (out_.size() < most_line && (!id || told.insert(*id).second)) jsonrpc::put_error(out_, id, code, text);
@@ -204,26 +244,41 @@
       tell(query->id, jsonrpc::Code::refused, "the connection ends: " + problem.text);
   }
   flush();
+  finish();
 }
 
 void Client::answer(std::int64_t request, std::string line) {
-  if (closed_ || open_.erase(request) == 0) return;
+  if (closed() || open_.erase(request) == 0) return;
   used_ = platform_.reading();
   if (out_.empty()) {
     out_ = std::move(line);
   } else {
     out_ += line;
   }
+  said(true);
   flush();
 }
 
+void Client::said(bool answer) {
+  unwritten_.emplace_back(written_in_all_ + backlog(), answer);
+  unwritten_answers_ += answer ? 1 : 0;
+}
+
+void Client::progressed(std::size_t bytes) {
+  written_ += bytes;
+  written_in_all_ += bytes;
+  progress_ = platform_.reading();
+  for (; !unwritten_.empty() && unwritten_.front().first <= written_in_all_; unwritten_.pop_front())
+    unwritten_answers_ -= unwritten_.front().second ? 1 : 0;
+}
+
 void Client::flush() {
-  if (closed_ || writes_) return;
+  if (closed() || writes_) return;
   if (written_ < out_.size()) {
     error_code error;
-    written_ += socket_.write_some(asio::buffer(out_) + written_, error);
+    const std::size_t sent = socket_.write_some(asio::buffer(out_) + written_, error);
     if (error && !would_block(error)) return close();
-    progress_ = platform_.reading();
+    progressed(sent);
     if (written_ < out_.size()) {
       writes_ = true;
       asio::co_spawn(
@@ -233,15 +288,15 @@
   }
   std::string().swap(out_);
   written_ = 0;
-  if (ending_) close();
+  if (phase_ == Phase::ending) linger();
 }
 
 asio::awaitable<void> Client::write_on() {
   const auto self = shared_from_this();
-  while (!closed_ && written_ < out_.size()) {
+  while (!closed() && written_ < out_.size()) {
     error_code error;
     co_await socket_.async_wait(tcp::socket::wait_write, asio::redirect_error(asio::use_awaitable, error));
-    if (closed_) co_return;
+    if (closed()) co_return;
     std::size_t sent = 0;
     if (!error) sent = socket_.write_some(asio::buffer(out_) + written_, error);
     if (would_block(error)) continue;
@@ -249,25 +304,26 @@
       close();
       co_return;
     }
-    written_ += sent;
-    progress_ = platform_.reading();
+    progressed(sent);
     if (written_ >= most_line) {
       out_.erase(0, written_);
       written_ = 0;
     }
   }
   writes_ = false;
-  if (!closed_) flush();
+  if (!closed()) flush();
 }
 
 void Client::sweep(TimePoint now) {
-  if (closed_) return;
-  if (!spoke_ && now - accepted_ > silent_life) return close();
-  if (inside_since_ && now - *inside_since_ > half_line && !ending_) {
+  if (closed()) return;
+  if (phase_ == Phase::lingering) return now - ended_ > linger_life ? close() : void();
+  if (backlog() > 0 && now - progress_ > write_stall) return close();
+  if (!open()) return;
+  if (inside_since_ && (now - heard_ > half_line || now - *inside_since_ > whole_line)) {
     return turn_away({}, {std::nullopt, jsonrpc::Code::parse_error, "the rest of a message did not come"});
   }
-  if (backlog() > 0 && now - progress_ > write_stall) return close();
-  if (idle() && now - used_ > idle_life) close();
+  if (!spoke_ && now - heard_ > silent_life) return finish_if_idle();
+  if (now - used_ > idle_life) finish_if_idle();
 }
 
 }  // namespace paddlestand::platform
--- a/src/platform/platform.cpp
+++ b/src/platform/platform.cpp
@@ -28,11 +28,11 @@
 constexpr auto beat_silence = 2s;  // two beats of the command channel
 constexpr auto follow_connect = 500ms;
 constexpr auto follow_first_rest = 20ms, follow_longest_rest = 250ms;
-constexpr auto arrivals_after_term = 900ms;  // so long requests may still come after SIGTERM
-constexpr auto life_after_term =
-    3700ms;  // the platform kills no sooner; nor before the longest deadline and 0.7 s
-constexpr auto kill_margin = 300ms;  // before that, for last answers to leave
-constexpr auto flush_time = 300ms;  // for last answers, after all is over
+constexpr auto arrivals_after_term = 700ms;  // so long requests may still come after SIGTERM
+// The platform kills no sooner than the longest deadline after that, which counts as so much at the most.
+constexpr auto kill_counts_most = 3s;
+constexpr auto kill_margin = 300ms;  // before the kill, for last answers to leave
+constexpr auto end_margin = 100ms;  // before the kill, for the process to end by itself
 constexpr auto reload_rest = 100ms;  // before a file that can't be read is tried again
 constexpr auto tell_away_each = 1s;
 constexpr std::uint64_t probe_ids = std::uint64_t{0xf1} << 56U;  // apart from most requests' ids
@@ -105,20 +105,34 @@
   client->start();
 }
 
-// Who never said anything goes first, then who has been idle for longest; nobody with an open request.
+// Who lingers goes first, then who never said anything, then who has been idle for longest; nobody with an
+// open request. Who speaks just now is passed over, for the next one: a look at each would cost a call to the
+// system for each of hundreds, at each of thousands of connections.
 bool Platform::make_room() {
   std::shared_ptr<Client> worst;
-  for (const auto& [number, client] : clients_) {
-    if (!client->idle()) continue;
-    if (!worst || std::pair(client->spoke(), client->used()) < std::pair(worst->spoke(), worst->used()))
-      worst = client;
+  for (int looks = 0; looks < 2; ++looks) {
+    const auto before = std::exchange(worst, nullptr);
+    for (const auto& [number, client] : clients_) {
+      const auto order = [](const Client& one) {
+        return std::tuple(!one.lingering(), one.spoke(), one.used());
+      };
+      if (client->idle() && client != before && (!worst || order(*client) < order(*worst))) worst = client;
+    }
+    if (!worst || !worst->speaks()) break;
   }
   if (!worst) return false;
-  turned_away(*worst, {std::nullopt, jsonrpc::Code::refused, "closed, idle, to make room"});
+  if (!worst->lingering())
+    turned_away(*worst, {std::nullopt, jsonrpc::Code::refused, "closed, idle, to make room"});
   worst->close();
   return true;
 }
 
+std::size_t Platform::unread_bytes() const {
+  std::size_t bytes = 0;
+  for (const auto& [number, client] : clients_) bytes += client->backlog();
+  return bytes;
+}
+
 std::optional<std::uint64_t> Platform::trace_of(core::SessionId session) const {
   const auto found = requests_.find(session);
   if (found == requests_.end()) return std::nullopt;
@@ -491,6 +505,8 @@
       all.erase(most);
     }
     sweep_channels(at);
+    end_if_left();
+    if (stopped_) co_return;
   }
 }
 
@@ -626,23 +642,55 @@
             "command channel " + text_of(config_.channel) + " from event " + std::to_string(fleet_.last()));
 }
 
+Duration Platform::life_after_term() const {
+  Duration longest{};
+  for (const ClassSettings& k : config_.core.module.classes)
+    longest = std::max(longest, k.deadline.count() > 0 ? k.deadline : Duration(kill_counts_most));
+  return std::min(longest, Duration(kill_counts_most)) + arrivals_after_term;
+}
+
 void Platform::leave() {
   if (terminated_) return;
   terminated_ = true;
   log_.info("leave", "requests are taken for a little longer, then what is held is answered");
-  auto timer = std::make_shared<asio::steady_timer>(io_, arrivals_after_term);
-  timer->async_wait([this, timer](const error_code&) {
-    error_code ignored;
-    acceptor_.close(ignored);
+  const auto after = [this](Duration time, auto what) {
+    auto timer = std::make_shared<asio::steady_timer>(io_, time);
+    timer->async_wait([timer, what](const error_code&) { what(); });
+  };
+  const Duration life = life_after_term();
+  after(arrivals_after_term, [this, life] {
+    take_no_more();
     // What is open then is answered: found by the kill it would be lost, refused it can go elsewhere in time.
-    tell(core::Leave{life_after_term - kill_margin - arrivals_after_term});
+    tell(core::Leave{life - arrivals_after_term - std::min<Duration>(kill_margin, life / 4)});
   });
+  after(life - end_margin, [this] { stop(); });
+}
+
+// A listener that closes resets what it has accepted and nobody took.
+void Platform::take_no_more() {
+  error_code error;
+  acceptor_.non_blocking(true, error);
+  while (!error) {
+    tcp::socket socket(io_);
+    acceptor_.accept(socket, error);
+    if (!error) take(std::move(socket));
+  }
+  acceptor_.close(error);
 }
 
 void Platform::carry_out(const core::Left&) {
   log_.info("left", "nothing is held any more");
-  auto until = std::make_shared<asio::steady_timer>(io_, flush_time);
-  until->async_wait([this, until](const error_code&) { stop(); });
+  left_ = true;
+}
+
+// Connections that rest are shut down, so that clients go elsewhere with their next request; the process
+// ends once all clients have closed theirs, or shortly before the kill.
+void Platform::end_if_left() {
+  if (acceptor_.is_open()) return;
+  std::vector<std::shared_ptr<Client>> all;
+  for (const auto& [number, client] : clients_) all.push_back(client);
+  for (const auto& client : all) client->finish_if_idle();
+  if (left_ && clients_.empty()) stop();
 }
 
 }  // namespace paddlestand::platform
--- a/src/platform/platform.hpp
+++ b/src/platform/platform.hpp
@@ -37,8 +37,14 @@
 
   void reload();
   void leave();
+  // The listener closes; what the machine has accepted until then is taken.
+  void take_no_more();
+  // How long the platform lets it live after SIGTERM.
+  [[nodiscard]] Duration life_after_term() const;
 
   [[nodiscard]] std::size_t clients() const { return clients_.size(); }
+  [[nodiscard]] std::size_t unread_bytes() const;  // of answers, by clients
+  [[nodiscard]] std::size_t dropped_bytes() const { return dropped_bytes_; }  // behind an end
   [[nodiscard]] std::size_t channels() const { return channel_count_; }
   [[nodiscard]] std::size_t engines() const { return fleet_.size(); }
   [[nodiscard]] std::uint64_t last_event() const { return fleet_.last(); }
@@ -54,6 +60,7 @@
   void ask(const std::shared_ptr<Client>& client, core::SessionId session, jsonrpc::Query query);
   void let_go(core::SessionId session);  // its client waits no longer
   void client_gone(const Client& client) { clients_.erase(client.number()); }
+  void dropped(std::size_t bytes) { dropped_bytes_ += bytes; }
   [[nodiscard]] bool room_for(std::size_t bytes) const { return statement_bytes_ + bytes <= most_backlog_; }
   void forgotten(std::size_t requests);
   void turned_away(const Client& client, const jsonrpc::Problem& problem);
@@ -106,6 +113,7 @@
   boost::asio::awaitable<void> sweep();
   boost::asio::awaitable<void> signals();
   bool make_room();
+  void end_if_left();
   void apply(const command_channel::Event& event, bool& gap);
   std::shared_ptr<Channel> channel_for(EngineId engine, core::LinkUse use);
   std::shared_ptr<Channel> open_channel(EngineId engine);
@@ -137,8 +145,10 @@
   std::size_t statement_bytes_ = 0;  // of the requests that are open
   std::uint64_t last_client_ = 0, last_session_ = 0, last_probe_ = 0;
   std::uint64_t turned_away_ = 0;
+  std::size_t dropped_bytes_ = 0;
   TimePoint told_away_{};
-  bool listening_ = false, told_ = false, terminated_ = false, reload_again_ = false, reload_failed_ = false;
+  bool listening_ = false, told_ = false, terminated_ = false, left_ = false;
+  bool reload_again_ = false, reload_failed_ = false;
 };
 
 }  // namespace paddlestand::platform
--- a/src/service/desk_host.cpp
+++ b/src/service/desk_host.cpp
@@ -66,12 +66,13 @@
   while (!stopped_) {
     error_code error;
     auto socket = co_await acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
-    if (stopped_ || !acceptor.is_open()) co_return;
-    if (!error) {
+    if (stopped_) co_return;
+    if (!error) {  // also one that was accepted in the turn in which the acceptor was closed
       told = false;
       take(std::move(socket));
       continue;
     }
+    if (!acceptor.is_open()) co_return;
     if (!told) log_.warn("accept", error.message() + "; connections wait");
     told = true;
     asio::steady_timer rest(io_, descriptor_rest);
--- a/tests/platform/peers.hpp
+++ b/tests/platform/peers.hpp
@@ -69,6 +69,7 @@
     if (::poll(&one, 1, wait_ms) <= 0) return std::string{};
     char part[65536];
     const ssize_t got = ::recv(socket_, part, sizeof(part), 0);
+    if (got < 0) errno_ = errno;
     if (got <= 0) return std::nullopt;
     return std::string(part, static_cast<std::size_t>(got));
   }
@@ -79,20 +80,29 @@
       if (more->empty()) return false;
     }
   }
+  // By a shutdown of the other side: a reset may take with it what was said last.
+  bool ends_whole() const {
+    const bool ended = ends();
+    char none{};
+    return ended && ::recv(socket_, &none, 1, 0) == 0 && errno_ == 0;
+  }
+  [[nodiscard]] bool was_reset() const { return errno_ == ECONNRESET; }
+  void shut_down() const { ::shutdown(socket_, SHUT_WR); }
 
  private:
   int socket_;
+  mutable int errno_ = 0;
 };
 
 class Listener {
  public:
-  Listener() : socket_(::socket(AF_INET, SOCK_STREAM, 0)) {
+  explicit Listener(int backlog = 64) : socket_(::socket(AF_INET, SOCK_STREAM, 0)) {
     sockaddr_in at{};
     at.sin_family = AF_INET;
     at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t size = sizeof(at);
     EXPECT_EQ(::bind(socket_, reinterpret_cast<sockaddr*>(&at), size), 0);
-    EXPECT_EQ(::listen(socket_, 64), 0);
+    EXPECT_EQ(::listen(socket_, backlog), 0);
     EXPECT_EQ(::getsockname(socket_, reinterpret_cast<sockaddr*>(&at), &size), 0);
     port_ = ntohs(at.sin_port);
   }
@@ -112,6 +122,34 @@
   std::uint16_t port_ = 0;
 };
 
+// A listener whose queue is full: no connection to it comes up until the test lets one in.
+class Full : public Listener {
+ public:
+  Full() : Listener(0) {
+    for (;;) {
+      const int one = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+      sockaddr_in at{};
+      at.sin_family = AF_INET;
+      at.sin_port = htons(port());
+      at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+      ::connect(one, reinterpret_cast<sockaddr*>(&at), sizeof(at));
+      pollfd up{one, POLLOUT, 0};
+      if (::poll(&up, 1, 300) <= 0) {
+        ::close(one);
+        return;
+      }
+      fillers_.emplace_back(one);
+    }
+  }
+  void let_in() {
+    for (Wire& filler : fillers_) accept(), filler.close();
+    fillers_.clear();
+  }
+
+ private:
+  std::vector<Wire> fillers_;
+};
+
 // An engine's end of a channel.
 class EngineSide {
  public:
@@ -194,6 +232,12 @@
   std::int64_t last_id_ = 0;
 };
 
+inline std::string forget_of(std::uint64_t trace) {
+  char hex[17];
+  std::snprintf(hex, sizeof(hex), "%016llx", static_cast<unsigned long long>(trace));
+  return R"({"jsonrpc":"2.0","method":"forget","params":{"trace":")" + std::string(hex) + "\"}}\n";
+}
+
 inline command_channel::Record engine_at(EngineId id, std::uint16_t port,
                                          EngineState state = EngineState::ready) {
   command_channel::Record record;
@@ -263,4 +307,57 @@
   }
 };
 
+// A command channel's end: takes the number that is asked from.
+struct Told {
+  Wire wire;
+  std::uint64_t from = 0;
+  explicit Told(const Listener& listener) : wire(listener.accept()) {
+    std::string bytes;
+    while (bytes.size() < 8) {
+      const auto more = wire.read();
+      if (!more || more->empty()) return;
+      bytes += *more;
+    }
+    for (const char c : bytes) from = from << 8U | static_cast<unsigned char>(c);
+  }
+  void event(std::uint64_t number, std::vector<command_channel::Record> records) const {
+    command_channel::Event one;
+    one.number = number;
+    one.records = std::move(records);
+    std::string bytes;
+    command_channel::put_event(bytes, one);
+    wire.write(bytes);
+  }
+};
+
+class Platforms : public ::testing::Test {
+ protected:
+  explicit Platforms(std::size_t engines = 1) : engines_(engines) {}
+
+  PlatformConfig config() {
+    std::vector<command_channel::Record> all;
+    for (std::size_t i = 0; i < engines_.size(); ++i)
+      all.push_back(engine_at(static_cast<EngineId>(i + 1), engines_[i].port()));
+    return small_config(std::move(all), channel_.port());
+  }
+
+  std::vector<Listener> engines_;
+  Listener channel_;
+};
+
+class TwoEngines : public Platforms {
+ protected:
+  TwoEngines() : Platforms(2) {}
+  // The engine that the next query goes to.
+  EngineSide whichever() {
+    for (int i = 0; i < patience_ms / 20; ++i) {
+      for (const Listener& engine : engines_) {
+        EngineSide side(engine, 10);
+        if (side.open()) return side;
+      }
+    }
+    return EngineSide(engines_[0], 0);
+  }
+};
+
 }  // namespace paddlestand::platform::test
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -7,36 +7,6 @@
 
 using namespace std::string_literals;
 
-class Platforms : public ::testing::Test {
- protected:
-  explicit Platforms(std::size_t engines = 1) : engines_(engines) {}
-
-  PlatformConfig config() {
-    std::vector<command_channel::Record> all;
-    for (std::size_t i = 0; i < engines_.size(); ++i)
-      all.push_back(engine_at(static_cast<EngineId>(i + 1), engines_[i].port()));
-    return small_config(std::move(all), channel_.port());
-  }
-
-  std::vector<Listener> engines_;
-  Listener channel_;
-};
-
-class TwoEngines : public Platforms {
- protected:
-  TwoEngines() : Platforms(2) {}
-  // The engine that the next query goes to.
-  EngineSide whichever() {
-    for (int i = 0; i < patience_ms / 20; ++i) {
-      for (const Listener& engine : engines_) {
-        EngineSide side(engine, 10);
-        if (side.open()) return side;
-      }
-    }
-    return EngineSide(engines_[0], 0);
-  }
-};
-
 TEST_F(Platforms, AnAnswerInPagesIsServedWholeAndInOrder) {
   Served served(config());
   RawClient client(served.port());
@@ -131,8 +101,7 @@
   client.ask(1, 0x61);
   EngineSide engine = whichever();
   ASSERT_TRUE(engine.next());
-  client.wire().write(R"({"jsonrpc":"2.0","method":"forget","params":{"trace":"0000000000000061"}})"
-                      "\n");
+  client.wire().write(forget_of(0x61));
   const auto given_up = engine.next();
   ASSERT_TRUE(given_up);
   EXPECT_EQ(given_up->code, 2);
@@ -194,15 +163,11 @@
 
 TEST_F(Platforms, WhatIsTakenBackInTheSameBreathReachesNoEngineAndMakesNoRoom) {
   Served served(config());
-  const auto forget = [](const std::string& trace) {
-    return R"({"jsonrpc":"2.0","method":"forget","params":{"trace":")" + trace + "\"}}\n";
-  };
   std::string back, unknown;
   for (int i = 1; i <= 100; ++i) {
-    char trace[17];
-    std::snprintf(trace, sizeof(trace), "%016x", 0x700 + i);
-    back += RawClient::line(i, 0x700U + static_cast<unsigned>(i)) + forget(trace);
-    unknown += RawClient::line(i, 0x800U + static_cast<unsigned>(i)) + forget("00000000000fffff");
+    back +=
+        RawClient::line(i, 0x700U + static_cast<unsigned>(i)) + forget_of(0x700U + static_cast<unsigned>(i));
+    unknown += RawClient::line(i, 0x800U + static_cast<unsigned>(i)) + forget_of(0xfffff);
   }
   RawClient taking(served.port());
   taking.wire().write(back.substr(0, back.find("\n", back.find("forget")) + 1));
@@ -302,29 +267,6 @@
 
 // ---- The list of engines ----
 
-// A command channel's end: takes the number that is asked from.
-struct Told {
-  Wire wire;
-  std::uint64_t from = 0;
-  explicit Told(const Listener& listener) : wire(listener.accept()) {
-    std::string bytes;
-    while (bytes.size() < 8) {
-      const auto more = wire.read();
-      if (!more || more->empty()) return;
-      bytes += *more;
-    }
-    for (const char c : bytes) from = from << 8U | static_cast<unsigned char>(c);
-  }
-  void event(std::uint64_t number, std::vector<command_channel::Record> records) const {
-    command_channel::Event one;
-    one.number = number;
-    one.records = std::move(records);
-    std::string bytes;
-    command_channel::put_event(bytes, one);
-    wire.write(bytes);
-  }
-};
-
 TEST_F(TwoEngines, EventsAreTakenOnceAndAMissingOneIsAskedFor) {
   Served served(config());
   const auto last = [&] { return served.run([](Platform& p) { return p.last_event(); }); };
