A request does not go out on an engine's connection whose end is here already

Seen: the engine closes a resting connection in the turn in which the next request is to go out on it. channel_for gave that connection, the frame was written into it and reset: may have run, so a request that is unsafe to repeat failed, though it surely never ran.

Change: before an idle connection is used again, one peek tells whether its end is here (Channel::ended); then it is dropped and another one taken.

--- a/src/platform/channel.cpp
+++ b/src/platform/channel.cpp
@@ -47,6 +47,16 @@
   platform_.channel_lost(shared_from_this(), why, what);
 }
 
+// A close that is here already, and not read yet in this turn: a request written now would be reset, and
+// nobody could say that it never ran.
+bool Channel::ended() {
+  if (closed_ || !up_) return closed_;
+  char next{};
+  error_code error;
+  socket_.receive(asio::buffer(&next, 1), tcp::socket::message_peek, error);
+  return error && !would_block(error);
+}
+
 void Channel::leave(TimePoint now) {
   --links_;
   used_ = now;
--- a/src/platform/channel.hpp
+++ b/src/platform/channel.hpp
@@ -36,6 +36,8 @@
   // Takes no new stream: what was given up on it may still be answered, or it is silent.
   [[nodiscard]] bool retired() const { return retired_; }
   void retire() { retired_ = true; }
+  // The engine's close is here, and not read yet.
+  [[nodiscard]] bool ended();
   // Since when the rest of a frame is awaited.
   [[nodiscard]] std::optional<TimePoint> stalled_since() const { return inside_since_; }
 
--- a/src/platform/platform.cpp
+++ b/src/platform/platform.cpp
@@ -243,7 +243,11 @@
       shared = channel;
   }
   // A probe is to tell whether the engine can be reached: an old channel may hang alone.
-  if (idle && use != core::LinkUse::probe) return idle;
+  if (idle && use != core::LinkUse::probe) {
+    if (!idle->ended()) return idle;
+    channel_lost(idle, core::LinkLoss::closed, "ended");
+    return channel_for(engine, use);
+  }
   const std::size_t engines = std::max<std::size_t>(1, fleet_.size());
   const std::size_t part = std::max<std::size_t>(2, most_channels_ / engines);
   if (all.size() < part && (channel_count_ < most_channels_ || shed_idle_channel()))
