--- a/tests/platform/ends_test.cpp
+++ b/tests/platform/ends_test.cpp
@@ -8,7 +8,10 @@
 
 using namespace std::string_literals;
 
-using Ends = Platforms;
+class Ends : public Platforms {
+ protected:
+  std::vector<EngineSide> resting_;
+};
 
 // The manager decides on the end while bytes lie unread: closed over them, the connection would be reset.
 TEST_F(Ends, AConnectionThatIsTurnedAwayOverUnreadBytesIsShutDownAndNotReset) {
@@ -182,10 +185,124 @@
   EXPECT_EQ(given_up->id, 0x51U);
 }
 
+// An answer, a forget, a message that can't be taken and the client's end, all there in one turn of the loop,
+// in every order: the manager goes on, owes nothing, and the next client is served.
+TEST_F(Ends, AllThatCanComeInOneTurnMayComeInEveryOrder) {
+  Served served(config());
+  const std::uint16_t port = served.port();
+  std::vector<int> order{0, 1, 2, 3};
+  std::uint64_t trace = 0x1000;
+  do {
+    RawClient client(port);
+    client.ask(1, ++trace);
+    EngineSide engine;
+    std::optional<engine_frames::Frame> request;
+    ASSERT_TRUE(comes_true([&] {
+      if (EngineSide side(engines_[0], 1); side.open()) resting_.push_back(std::move(side));
+      for (EngineSide& side : resting_) {
+        while (auto next = side.next(1))
+          if (next->code == 1 && next->id == trace) {
+            request = std::move(next);
+            engine = std::move(side);
+            return true;
+          }
+      }
+      return false;
+    }));
+    std::erase_if(resting_, [](const EngineSide& side) { return !side.open(); });
+    served.run([&](Platform&) {
+      for (const int what : order) {
+        if (what == 0) engine.answer(0, trace, "parts=1", "a\tb\tc\n");
+        if (what == 1) client.wire().write(forget_of(trace));
+        if (what == 2) client.wire().write("noise\n");
+        if (what == 3) client.wire().shut_down();
+      }
+      return 0;
+    });
+    EXPECT_TRUE(comes_true([&] { return served.run([](Platform& p) { return p.clients(); }) == 0; }));
+    EXPECT_EQ(served.counts().sessions, 0U);
+    EXPECT_EQ(served.counts().attempts_out, 0U);
+    resting_.push_back(std::move(engine));
+  } while (std::next_permutation(order.begin(), order.end()));
+}
+
+// Silent clients fill the descriptors while the command channel is down. When it is back it is found, engines
+// are reached, and no more descriptors are held than allowed.
+TEST_F(Ends, IdleClientsLeaveDescriptorsToTheCommandChannelAndToEngines) {
+  PlatformConfig settings = config();
+  settings.limits.descriptors = 128;
+  std::optional<Listener> down(std::in_place);
+  settings.channel.port = down->port();
+  down.reset();  // its port is nobody's
+  const std::string path = ::testing::TempDir() + "paddlestand-crowd-" + std::to_string(::getpid()) + ".json";
+  Served served(std::move(settings), path);
+  std::vector<RawClient> silent;
+  for (int i = 0; i < 300; ++i) silent.emplace_back(served.port());
+  EXPECT_TRUE(comes_true([&] { return served.run([](Platform& p) { return p.clients(); }) >= 52; }));
+  std::ofstream(path) << config_text(channel_.port());
+  served.run([](Platform& p) { return p.reload(), 0; });
+  Told told(channel_);
+  EXPECT_EQ(told.from, 1U);
+  told.event(2, {engine_at(9, engines_[0].port())});
+  EXPECT_TRUE(comes_true([&] { return served.run([](Platform& p) { return p.last_event(); }) == 2; }));
+  RawClient usual(served.port());
+  usual.ask(1, 0xa1);
+  EngineSide engine(engines_[0]);
+  ASSERT_TRUE(engine.next());
+  EXPECT_LE(served.run([](Platform& p) { return p.clients() + p.channels(); }), 128U - 24U);
+  engine.answer(0, 0xa1, "parts=1", "a\tb\tc\n");
+  EXPECT_EQ(usual.outcome(), "served:a\tb\tc\n");
+  ::unlink(path.c_str());
+}
+
 // ---- Leaving ----
 
 using Leaves = Platforms;
 
+// The restarted one: its known events, no command channel.
+TEST_F(Leaves, OneThatStartsWithoutACommandChannelIsReadyAndServes) {
+  PlatformConfig settings = config();
+  std::optional<Listener> down(std::in_place);
+  settings.channel.port = down->port();
+  down.reset();
+  Served served(std::move(settings));
+  RawClient client(served.port());
+  client.wire().write("{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"isWell\"}\n");
+  const auto well = client.next();
+  ASSERT_TRUE(well.is_object());
+  EXPECT_TRUE(well.as_object().at("result").as_object().at("green").as_bool());
+  client.ask(2, 0xb1);
+  EngineSide engine(engines_[0]);
+  ASSERT_TRUE(engine.next());
+  engine.answer(0, 0xb1, "parts=1", "a\tb\tc\n");
+  EXPECT_EQ(client.outcome(), "served:a\tb\tc\n");
+}
+
+// SIGTERM while a reload waits for a file that can be read, the command channel is away and an engine hangs.
+TEST_F(Leaves, ALeaveDuringAReloadWithoutACommandChannelEndsByItself) {
+  const std::string path = ::testing::TempDir() + "paddlestand-leave-" + std::to_string(::getpid()) + ".json";
+  std::ofstream(path) << "{\"name\":";
+  PlatformConfig settings = config();
+  for (ClassSettings& k : settings.core.module.classes) k.deadline = 400ms;
+  std::optional<Listener> down(std::in_place);
+  settings.channel.port = down->port();
+  down.reset();
+  boost::asio::io_context io(1);
+  Platform platform(io, std::move(settings), path, false);
+  platform.start();
+  std::thread loop([&] { io.run(); });
+  RawClient client(platform.port());
+  client.wire().write(RawClient::line(1, 0xb2, "report", "", 800));
+  EngineSide engine(engines_[0]);
+  ASSERT_TRUE(engine.next());
+  boost::asio::post(io, [&] { platform.reload(), platform.leave(), platform.reload(); });
+  const std::string said = client.outcome();
+  EXPECT_TRUE(said == "error:-32001" || said == "error:-32000") << said;
+  client.wire().close();
+  loop.join();
+  ::unlink(path.c_str());
+}
+
 // The kernel has accepted it and it has written; the loop has not seen it when the listener is closed.
 TEST_F(Leaves, AConnectionThatTheLoopHasNotSeenIsTakenWhenTheListenerCloses) {
   Served served(config());
--- a/tests/platform/peers.hpp
+++ b/tests/platform/peers.hpp
@@ -153,6 +153,7 @@
 // An engine's end of a channel.
 class EngineSide {
  public:
+  EngineSide() : reader_(engine_frames::Side::manager) {}
   explicit EngineSide(const Listener& listener, int wait_ms = patience_ms)
       : wire_(listener.accept(wait_ms)), reader_(engine_frames::Side::manager) {}
 
@@ -293,6 +294,13 @@
   return config;
 }
 
+// A configuration to be read again: of it, the command channel is taken up.
+inline std::string config_text(std::uint16_t channel) {
+  return R"({"name":"n","listen":"127.0.0.1:1","seed":"1","channel":"127.0.0.1:)" + std::to_string(channel) +
+         R"(","known":{"cursor":1,"cmds":[]},"settings":{"classes":[{"name":"report",)"
+         R"("repeat":"pure"}],"permissions":{"multiplex":32,"conn_idle_ns":0,"dial_timeout_ns":0}}})";
+}
+
 class Served : public Thread<Platform> {
  public:
   explicit Served(PlatformConfig config, std::string path = "")
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -315,12 +315,6 @@
 TEST_F(Platforms, AReloadMovesToAnotherCommandChannelAndABrokenFileChangesNothing) {
   const std::string path =
       ::testing::TempDir() + "paddlestand-platform-" + std::to_string(::getpid()) + ".json";
-  const auto write = [&](std::uint16_t channel) {
-    std::ofstream(path) << R"({"name":"n","listen":"127.0.0.1:1","seed":"1","channel":"127.0.0.1:)" << channel
-                        << R"(","known":{"cursor":1,"cmds":[]},"settings":{"classes":[{"name":"report",)"
-                        << R"("repeat":"pure"}],"permissions":{"multiplex":32,"conn_idle_ns":0,)"
-                        << R"("dial_timeout_ns":0}}})";
-  };
   Served served(config(), path);
   Told old(channel_);
   old.event(2, {engine_at(9, engines_[0].port())});
@@ -332,7 +326,7 @@
   std::ofstream(path) << "{\"name\":";  // half written
   served.run([](Platform& p) { return p.reload(), 0; });
   Listener fresh;
-  write(fresh.port());  // it is read again without another signal
+  std::ofstream(path) << config_text(fresh.port());  // it is read again without another signal
   Told next(fresh);
   EXPECT_EQ(next.from, 2U);
   EXPECT_TRUE(old.wire.ends());
@@ -353,11 +347,7 @@
   }
   Served served(std::move(settings), path);
   Listener fresh;
-  std::ofstream(path) << R"({"name":"n","listen":"127.0.0.1:1","seed":"1","channel":"127.0.0.1:)"
-                      << fresh.port()
-                      << R"(","known":{"cursor":1,"cmds":[]},"settings":{"classes":[{"name":"report",)"
-                      << R"("repeat":"pure"}],"permissions":{"multiplex":32,"conn_idle_ns":0,)"
-                      << R"("dial_timeout_ns":0}}})";
+  std::ofstream(path) << config_text(fresh.port());
   served.run([](Platform& p) { return p.reload(), 0; });
   Told told(fresh);
   EXPECT_EQ(told.from, 1U);
