Leaving under very short deadlines answers before it stops

Seen in reading: with a longest deadline of 0.1 s the grace of Leave was below zero and the stop fell on the turn in which the listener closes; what was taken then could have ended unanswered. The margins for last answers and for the stop are now parts of what is left between the last arrivals and the kill (half and a quarter, 0.3 s and 0.1 s at most). Ruled out: deadlines of 0.6 s and more, where both margins are as before.

--- a/src/platform/platform.cpp
+++ b/src/platform/platform.cpp
@@ -661,13 +661,13 @@
     auto timer = std::make_shared<asio::steady_timer>(io_, time);
     timer->async_wait([timer, what](const error_code&) { what(); });
   };
-  const Duration life = life_after_term();
-  after(arrivals_after_term, [this, life] {
+  const Duration rest = life_after_term() - arrivals_after_term;
+  after(arrivals_after_term, [this, rest] {
     take_no_more();
     // What is open then is answered: found by the kill it would be lost, refused it can go elsewhere in time.
-    tell(core::Leave{life - arrivals_after_term - std::min<Duration>(kill_margin, life / 4)});
+    tell(core::Leave{rest - std::min<Duration>(kill_margin, rest / 2)});
   });
-  after(life - end_margin, [this] { stop(); });
+  after(arrivals_after_term + rest - std::min<Duration>(end_margin, rest / 4), [this] { stop(); });
 }
 
 // A listener that closes resets what it has accepted and nobody took.
