Cold engines: the sum of all managers' parts at 3, 30 and 300, and over their restarts

Cleared: parts of a cold engine's budget sum to no more than it at 3, 30 and 300 managers too; managers that restart send it nothing within their first window, where what their former selves sent is not known (cold_allows).

--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -37,7 +37,7 @@
 
 // The parts of a cold engine's budget never sum to more than it, and never to nothing.
 TEST(AtSize, PartsOfAColdEnginesBudgetSumToNoMoreThanIt) {
-  for (const std::uint32_t instances : {1U, 2U, 5U, 47U, 200U, 270U}) {
+  for (const std::uint32_t instances : {1U, 2U, 3U, 5U, 30U, 47U, 200U, 270U, 300U}) {
     double sent = 0;
     for (std::uint32_t position = 0; position < instances; ++position) {
       Desk desk(one_of(instances, position));
@@ -60,6 +60,26 @@
   }
 }
 
+// What an earlier start of a manager sent to a cold engine is not known to the next: all parts once more,
+// within one window, would sum to twice the budget.
+TEST(AtSize, ARestartedManagerSendsAColdEngineNothingInItsFirstWindow) {
+  for (const std::uint32_t instances : {3U, 30U, 300U}) {
+    int at_first = 0, later = 0;
+    for (std::uint32_t position = 0; position < instances; ++position) {
+      Desk desk(one_of(instances, position));
+      desk.fleet({engine(2, EngineState::ready, desk.now())});
+      for (RequestId id = 1; id <= 3; ++id) desk.request(id);
+      desk.advance(one_of(instances, position).fall_window / 2);
+      at_first += desk.sends_to(2);
+      desk.advance(one_of(instances, position).fall_window);
+      desk.request(9);
+      later += desk.sends_to(2);
+    }
+    EXPECT_EQ(at_first, 0) << instances;
+    EXPECT_GT(later, 0) << instances;
+  }
+}
+
 TEST(AtSize, APositionBeyondTheInstancesHasNoPartOfAColdEngine) {
   Desk desk(one_of(5, 9));
   desk.fleet({engine(1)});
