--- /dev/null
+++ b/src/service/boost_asio.cpp
@@ -0,0 +1,2 @@
+// Asio's sources, compiled once.
+#include <boost/asio/impl/src.hpp>
