--- a/lab/day/client.cpp
+++ b/lab/day/client.cpp
@@ -195,7 +195,7 @@
   }
   co_await asio::async_write(seat->socket, asio::buffer(bytes),
                              asio::redirect_error(asio::use_awaitable, error));
-  bool ready = false;
+  bool ready = false, fatal = false;
   std::uint64_t rows = 0;
   while (!error && !ready) {
     while (const auto frame = seat->frames.next()) {
@@ -217,6 +217,7 @@
         out.harmless = advice.harmless.value_or(false);
         out.retry_after = advice.retry_after;
         out.begun = rows > 0;
+        fatal = fields->severity == "FATAL";
         out.kind = fields->code == "53400"   ? "refused"
                    : fields->code == "57P01" ? (out.harmless ? "refused" : "failed")
                    : fields->code == "57014"
@@ -232,7 +233,8 @@
   }
   timer.cancel();
   if (left) out.kind = "gone";
-  if (!ready && !left) out.kind = looked_long ? "unanswered" : "lost";
+  // A FATAL error is the whole answer: the session ends behind it, and no ReadyForQuery follows.
+  if (!ready && !left && !fatal) out.kind = looked_long ? "unanswered" : "lost";
   const auto took = steady_clock::now() - asked;
   write(nlohmann::json{{"t", shared_clock()},
                        {"what", "answer"},
