--- a/src/platform/engine_connection.cpp
+++ b/src/platform/engine_connection.cpp
@@ -9,10 +9,12 @@
 using service::IoResult;
 using service::IoStatus;
 
-EngineConnection::EngineConnection(Platform& platform, EngineId engine, tcp::endpoint at)
+EngineConnection::EngineConnection(Platform& platform, EngineId engine, tcp::endpoint at,
+                                   std::uint64_t number)
     : platform_(platform),
       engine_(engine),
       at_(std::move(at)),
+      number_(number),
       socket_(platform.io()),
       reader_(engine_frames::Side::engine),
       opened_(platform.reading()) {
@@ -94,7 +96,10 @@
   const auto found = ids_.find(frame.id);
   auto answer = engine_frames::read_answer(std::move(frame));
   if (const auto* broken = std::get_if<engine_frames::Broken>(&answer)) return broken->what;
-  if (found == ids_.end()) return {};
+  if (found == ids_.end()) {
+    platform_.frame_without_stream(*this, std::get<engine_frames::Answer>(answer));
+    return {};
+  }
   return platform_.answered(*this, found->second, std::move(std::get<engine_frames::Answer>(answer)));
 }
 
--- a/src/platform/engine_connection.hpp
+++ b/src/platform/engine_connection.hpp
@@ -24,12 +24,14 @@
  public:
   using tcp = boost::asio::ip::tcp;
 
-  EngineConnection(Platform& platform, EngineId engine, tcp::endpoint at);
+  /// `number`: its own among all of this process, for the log.
+  EngineConnection(Platform& platform, EngineId engine, tcp::endpoint at, std::uint64_t number);
 
   void start();
   void close();
 
   [[nodiscard]] EngineId engine() const { return engine_; }
+  [[nodiscard]] std::uint64_t number() const { return number_; }
   [[nodiscard]] bool up() const { return up_; }
   [[nodiscard]] bool closed() const { return closed_; }
   [[nodiscard]] bool carries(std::uint64_t id) const { return ids_.contains(id); }
@@ -73,6 +75,7 @@
   Platform& platform_;
   EngineId engine_;
   tcp::endpoint at_;
+  std::uint64_t number_;
   service::StreamSocket socket_;
   engine_frames::FrameReader reader_;
   std::map<std::uint64_t, core::LinkId> ids_;
--- a/src/platform/platform.cpp
+++ b/src/platform/platform.cpp
@@ -272,7 +272,8 @@
 std::shared_ptr<EngineConnection> Platform::open_connection(EngineId engine) {
   const auto at = fleet_.address(engine);
   if (!at) return nullptr;
-  const auto connection = std::make_shared<EngineConnection>(*this, engine, endpoint_of(*at));
+  const auto connection =
+      std::make_shared<EngineConnection>(*this, engine, endpoint_of(*at), ++last_connection_);
   connections_[engine].push_back(connection);
   ++connection_count_;
   connection->start();
@@ -405,8 +406,8 @@
   if (trace_)
     log_.info("sent", hex(stream.id) + " query " + std::to_string(effect.query) + " attempt " +
                           std::to_string(effect.attempt) + " engine " + std::to_string(stream.engine) +
-                          " rank " + std::to_string(effect.priority) + " grant " +
-                          std::to_string(effect.memory_mb));
+                          " connection " + std::to_string(stream.connection->number()) + " rank " +
+                          std::to_string(effect.priority) + " grant " + std::to_string(effect.memory_mb));
   const core::Written written = stream.connection->send(effect.link, stream.id, std::move(frame));
   if (written == core::Written::failed) stream.sent = false;
   check_dispatch(stream, request);
@@ -433,6 +434,21 @@
   return written;
 }
 
+void Platform::frame_without_stream(const EngineConnection& connection, const engine_frames::Answer& answer) {
+  ++frames_without_stream_;
+  if (!trace_) return;
+  log_.info("frame without stream",
+            hex(answer.id) + " code " + std::to_string(static_cast<int>(answer.code)) + " engine " +
+                std::to_string(connection.engine()) + " connection " + std::to_string(connection.number()));
+}
+
+void Platform::log_attempt_end(const Stream& stream, std::string_view how) {
+  if (!trace_ || stream.use == core::LinkUse::probe) return;
+  log_.info("attempt ended", hex(stream.id) + " query " + std::to_string(stream.query) + " engine " +
+                                 std::to_string(stream.engine) + " connection " +
+                                 std::to_string(stream.connection->number()) + ": " + std::string(how));
+}
+
 LoadReport Platform::report_of(const engine_frames::Answer& answer) const {
   LoadReport report;
   for (const auto& [name, value] : answer.gauges)
@@ -484,6 +500,7 @@
   end.memory_mb = head.memory_mb;
   end.report = report_of(head);
   stream.ended = true;
+  log_attempt_end(stream, "answered, code " + std::to_string(static_cast<int>(head.code)));
   connection.forget(stream.id);
   tell(end);
   return {};
@@ -515,8 +532,7 @@
 void Platform::carry_out(const core::CancelOnEngine& effect) {
   const auto found = streams_.find(effect.link);
   if (found == streams_.end()) return;
-  if (trace_)
-    log_.info("cancel attempt", hex(found->second.id) + " engine " + std::to_string(found->second.engine));
+  log_attempt_end(found->second, "cancelled or timed out");
   give_up(effect.link, found->second);
   tell(core::LinkLost{effect.link, core::LinkLoss::closed});
 }
--- a/src/platform/platform.hpp
+++ b/src/platform/platform.hpp
@@ -81,6 +81,9 @@
   std::optional<std::string> frame_for(core::LinkId link);
   void connection_lost(const std::shared_ptr<EngineConnection>& connection, core::LinkLoss why,
                        const std::string& what);
+  /// Counts a frame that nobody waits for: a copy, what comes behind an attempt's end, an unknown id.
+  void frame_without_stream(const EngineConnection& connection, const engine_frames::Answer& answer);
+  [[nodiscard]] std::uint64_t frames_without_stream() const { return frames_without_stream_; }
   // What is wrong with the answer, or nothing.
   std::string answered(EngineConnection& connection, core::LinkId link, engine_frames::Answer answer);
 
@@ -144,6 +147,7 @@
   void give_up(core::LinkId link, Stream& stream);
   bool shed_idle_connection();
   void sweep_connections(TimePoint at);
+  void log_attempt_end(const Stream& stream, std::string_view how);
   LoadReport report_of(const engine_frames::Answer& answer) const;
 
   PlatformConfig config_;
@@ -163,7 +167,8 @@
   std::size_t most_clients_ = 0, most_connections_ = 0;
   std::size_t most_backlog_ = 0;
   std::size_t statement_bytes_ = 0;  // of the requests that are open
-  std::uint64_t last_client_ = 0, last_session_ = 0, last_probe_ = 0;
+  std::uint64_t last_client_ = 0, last_session_ = 0, last_probe_ = 0, last_connection_ = 0;
+  std::uint64_t frames_without_stream_ = 0;
   std::uint64_t turned_away_ = 0;
   std::size_t dropped_bytes_ = 0;
   TimePoint told_away_{};
