--- /dev/null
+++ b/tests/platform/manager_process.hpp
@@ -0,0 +1,124 @@
+// A manager as a process of its own, for tests that must not share a loop or a clock with it.
+#pragma once
+
+#include <signal.h>
+
+#include <boost/process.hpp>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+
+#include "peers.hpp"
+
+namespace paddlestand::platform::test {
+
+/// The path of `paddlestand`, from the environment of the test.
+inline std::string manager_program() {
+  const char* path = std::getenv("PADDLESTAND_PROGRAM");
+  return path == nullptr ? "" : path;
+}
+
+/// The settings of one manager before some engines: three classes that differ in what a repeat may do.
+inline std::string process_config(const std::vector<std::uint16_t>& engines, std::uint16_t listen,
+                                  std::uint16_t channel, std::uint32_t most_descriptors = 256,
+                                  std::uint32_t streams_per_connection = 8) {
+  const auto class_named = [](const char* name, const char* repeat, const char* more) {
+    return std::string("{\"name\":\"") + name +
+           "\",\"aim_ns\":3000000000,\"deadline_ns\":6000000000,\"gain\":1.0,\"late_value\":0.5,\"repeat\":"
+           "\"" +
+           repeat + "\"" + more + "}";
+  };
+  std::string instances;
+  for (std::size_t i = 0; i < engines.size(); ++i) {
+    char id[16];
+    std::snprintf(id, sizeof(id), "s-%08x", static_cast<unsigned>(i + 1));
+    instances += (i == 0 ? "" : ",") + std::string("{\"instanceId\":\"") + id +
+                 "\",\"hostPort\":\"127.0.0.1:" + std::to_string(engines[i]) +
+                 "\",\"zone\":\"here\",\"machineType\":\"std\",\"cell\":0,\"lifecycle\":\"active\","
+                 "\"weight\":1,\"startedAtMs\":0}";
+  }
+  return R"({"name":"n0","listen":"127.0.0.1:)" + std::to_string(listen) +
+         R"(","seed":"10000041","limits":{"cores":1.0,"memory_mb":64,"sockets":)" +
+         std::to_string(most_descriptors) + R"(},"channel":"127.0.0.1:)" + std::to_string(channel) +
+         R"(","known":{"cursor":1,"cmds":[{"cursor":1,"nodes":{"generation":1,"reset":true,"instances":[)" +
+         instances +
+         R"(]}}]},"settings":{"balancers":1,"position":0,"az":0,"areas":["here"],"flavors":["std"],)"
+         R"("granularity_ns":5000000,"classes":[)" +
+         class_named("report", "pure", "") + "," +
+         class_named("load", "token", ",\"key_scope\":\"all\",\"key_ttl_ns\":20000000000,\"in_turn\":true") +
+         "," + class_named("settle", "side_effect", "") +
+         R"(],"family_info":{"class_threads":[1,1,1],"kind_cores":[16],"size_mb":[16384]},)"
+         R"("permissions":{"multiplex":)" +
+         std::to_string(streams_per_connection) +
+         R"(,"conn_idle_ns":4000000000,"dial_timeout_ns":250000000,"max_attempts":3,"cancel":true,)"
+         R"("probes":true},"rules":{"drain_grace_ns":250000000,"cold_from":0.3,"cold_ns":3000000000,)"
+         R"("tip_multiple":2.5,"fall_ns":1500000000},"report":{"how":"inline","names":["inflight"]},)"
+         R"("tenants":[]}})";
+}
+
+/// Starts `paddlestand platform` and waits until it answers that it is ready; kills it at its end. Its log
+/// is on standard error and kept.
+class ManagerProcess {
+ public:
+  ManagerProcess(const std::string& config, std::uint16_t port)
+      : port_(port),
+        folder_(std::filesystem::temp_directory_path() /
+                ("paddlestand-process-" + std::to_string(::getpid()) + "-" + std::to_string(port))) {
+    std::filesystem::create_directories(folder_);
+    std::ofstream(folder_ / "config.json") << config;
+    boost::process::environment environment = boost::this_process::environment();
+    environment["PROXY_CONFIG"] = (folder_ / "config.json").string();
+    process_ = boost::process::child(
+        manager_program(), "platform", "--trace", environment,
+        boost::process::std_in<boost::process::null, boost::process::std_out> boost::process::null,
+        boost::process::std_err > (folder_ / "log").string());
+    ready_ = comes_true([this] { return answers_ready(); });
+  }
+  ~ManagerProcess() {
+    std::error_code ignored;
+    process_.terminate(ignored);
+    process_.wait(ignored);
+    std::filesystem::remove_all(folder_, ignored);
+  }
+  ManagerProcess(const ManagerProcess&) = delete;
+  ManagerProcess& operator=(const ManagerProcess&) = delete;
+
+  [[nodiscard]] bool ready() const { return ready_; }
+  [[nodiscard]] std::uint16_t port() const { return port_; }
+  [[nodiscard]] std::string log() const {
+    std::ifstream in(folder_ / "log");
+    return {std::istreambuf_iterator<char>(in), {}};
+  }
+  /// How many lines of the log have this event.
+  [[nodiscard]] std::size_t logged(const std::string& event) const {
+    const std::string all = log(), wanted = "\"event\":\"" + event + "\"";
+    std::size_t count = 0;
+    for (auto at = all.find(wanted); at != std::string::npos; at = all.find(wanted, at + 1)) ++count;
+    return count;
+  }
+
+ private:
+  [[nodiscard]] bool answers_ready() const {
+    const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in at{};
+    at.sin_family = AF_INET;
+    at.sin_port = htons(port_);
+    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    const bool connected = ::connect(socket, reinterpret_cast<sockaddr*>(&at), sizeof(at)) == 0;
+    const Wire wire(socket);
+    if (!connected) return false;
+    wire.write("{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"isWell\"}\n");
+    const auto answer = wire.read(1000);
+    return answer && answer->find("\"green\":true") != std::string::npos;
+  }
+
+  std::uint16_t port_;
+  std::filesystem::path folder_;
+  boost::process::child process_;
+  bool ready_ = false;
+};
+
+/// A port that was free a moment ago.
+inline std::uint16_t free_port() { return Listener().port(); }
+
+}  // namespace paddlestand::platform::test
--- a/tests/platform/peers.hpp
+++ b/tests/platform/peers.hpp
@@ -12,6 +12,7 @@
 
 #include <boost/json.hpp>
 #include <fstream>
+#include <set>
 #include <string>
 
 #include "platform/platform.hpp"
@@ -172,6 +173,17 @@
       reader_.feed(*bytes);
     }
   }
+  // The next command that is whole by now; `ended` is set at the connection's end.
+  std::optional<engine_frames::Frame> next_if_here(bool& ended) {
+    for (;;) {
+      auto frame = reader_.next();
+      if (auto* one = std::get_if<engine_frames::Frame>(&frame)) return std::move(*one);
+      const auto bytes = wire_.read(0);
+      ended = !bytes;
+      if (!bytes || bytes->empty()) return std::nullopt;
+      reader_.feed(*bytes);
+    }
+  }
   void answer(std::uint8_t code, std::uint64_t id, std::string_view fields = {}, std::string_view body = {}) {
     std::string bytes;
     engine_frames::put_frame(bytes, engine_frames::Side::engine, code, id, fields, body);
@@ -179,6 +191,8 @@
   }
   Wire& wire() { return wire_; }
 
+  std::set<std::uint64_t> ids;  // of the requests that came, where a test keeps them
+
  private:
   Wire wire_;
   engine_frames::FrameReader reader_;
