--- a/src/core/conductor.cpp
+++ b/src/core/conductor.cpp
@@ -173,7 +173,7 @@
       break;
     }
     case Pool::Place::open: {
-      const LinkId id = open(action.engine, LinkUse::query);
+      const LinkId id = open(action.engine, LinkUse::query, query.id);
       LinkRecord& link = links_.at(id);
       link.query = query.id;
       link.attempt = index;
@@ -381,12 +381,12 @@
 
 // ---- Links ----
 
-LinkId Conductor::open(EngineId engine, LinkUse use) {
+LinkId Conductor::open(EngineId engine, LinkUse use, QueryId query) {
   const LinkId id = ++last_link_;
   LinkRecord& link = links_.emplace(id, LinkRecord(id, engine, use, now_)).first->second;
   if (use == LinkUse::query) pools_[engine].opened();
   link.timer = timers_.arm(now_ + settings_->connect_time_out, {TimerUse::connect, id, 0});
-  act(OpenLink{id, engine, use});
+  act(OpenLink{id, engine, use, query});
   return id;
 }
 
--- a/src/core/conductor.hpp
+++ b/src/core/conductor.hpp
@@ -86,7 +86,7 @@
   void end(QueryRecord& query, std::uint32_t attempt, Result result, const AnswerEnd* told = nullptr);
 
   // Links.
-  LinkId open(EngineId engine, LinkUse use);
+  LinkId open(EngineId engine, LinkUse use, QueryId query = 0);
   void close(LinkId id);
   void park(LinkId id, LinkRecord& link);
   void mark_sent(LinkRecord& link);
--- a/src/core/connection_policy.cpp
+++ b/src/core/connection_policy.cpp
@@ -87,7 +87,8 @@
 
 std::string_view name_of(Violation violation) {
   constexpr std::array<std::string_view, static_cast<std::size_t>(Violation::count)> names{
-      "begun_after_client_left", "deadline_beyond_client", "closed_with_open_requests"};
+      "begun_after_client_left", "deadline_beyond_client", "closed_with_open_requests", "second_attempt_out",
+      "stream_id_used_twice"};
   return names[static_cast<std::size_t>(violation)];
 }
 
--- a/src/core/connection_policy.hpp
+++ b/src/core/connection_policy.hpp
@@ -89,6 +89,8 @@
   begun_after_client_left,
   deadline_beyond_client,
   closed_with_open_requests,
+  second_attempt_out,  ///< an attempt was to go out while the engine may have another one of its request
+  stream_id_used_twice,  ///< a stream was to be opened under an id that its connection has carried
   count
 };
 
--- a/src/core/types.hpp
+++ b/src/core/types.hpp
@@ -113,6 +113,7 @@
   LinkId link{};
   EngineId engine{};
   LinkUse use{};
+  QueryId query{};  // it is opened for; zero: a probe
 };
 struct SendQuery {  // on a link that is up
   LinkId link{};
--- a/src/platform/engine_connection.cpp
+++ b/src/platform/engine_connection.cpp
@@ -10,7 +10,7 @@
 using service::IoStatus;
 
 EngineConnection::EngineConnection(Platform& platform, EngineId engine, tcp::endpoint at,
-                                   std::uint64_t number)
+                                   core::ConnectionId number)
     : platform_(platform),
       engine_(engine),
       at_(std::move(at)),
@@ -25,11 +25,14 @@
   service::spawn_with(platform_.io(), [self = shared_from_this()] { return self->run(); });
 }
 
+// An orderly close goes out behind what the socket still holds, which an engine that does not read never
+// takes: its attempts would run on there while their requests are sent elsewhere (incident 32). A reset
+// passes.
 void EngineConnection::close() {
   closed_ = true;
-  socket_.close();
+  const bool all_has_left = queue_.empty() && socket_.unsent_bytes() == 0;
+  all_has_left ? socket_.close() : socket_.reset();
   queue_.clear();
-  ids_.clear();
 }
 
 void EngineConnection::lost(core::LinkLoss why, const std::string& what) {
@@ -93,14 +96,14 @@
 // What is wrong with it, or nothing.
 std::string EngineConnection::take_frame(engine_frames::Frame frame) {
   // What nobody waits for is passed over: a second copy, an answer behind a give-up, an unknown id.
-  const auto found = ids_.find(frame.id);
+  const auto link = table_.link_of(frame.id);
   auto answer = engine_frames::read_answer(std::move(frame));
   if (const auto* broken = std::get_if<engine_frames::Broken>(&answer)) return broken->what;
-  if (found == ids_.end()) {
+  if (!link) {
     platform_.frame_without_stream(*this, std::get<engine_frames::Answer>(answer));
     return {};
   }
-  return platform_.answered(*this, found->second, std::move(std::get<engine_frames::Answer>(answer)));
+  return platform_.answered(*this, *link, std::move(std::get<engine_frames::Answer>(answer)));
 }
 
 bool EngineConnection::take(std::string_view bytes) {
@@ -132,10 +135,9 @@
 
 // ---- Writing ----
 
-core::Written EngineConnection::send(core::LinkId link, std::uint64_t id, std::string frame) {
+core::Written EngineConnection::send(core::LinkId link, core::StreamId id, std::string frame) {
   if (send_failed_) return core::Written::failed;
-  ids_[id] = link;
-  queue_.push({link, std::move(frame), platform_.reading()});
+  queue_.push({link, id, false, std::move(frame), platform_.reading()});
   if (writes_) return core::Written::partly;
   const IoStatus status = write_pending();
   if (status == IoStatus::progress) return core::Written::whole;
@@ -149,9 +151,17 @@
   return begun ? core::Written::whole : core::Written::partly;
 }
 
-void EngineConnection::send_command(std::string frame) {
+void EngineConnection::send_command(core::StreamId id, std::string frame) {
+  push_command({0, id, false, std::move(frame), platform_.reading()});
+}
+
+void EngineConnection::send_cancel(core::StreamId id, std::string frame) {
+  push_command({0, id, true, std::move(frame), platform_.reading()});
+}
+
+void EngineConnection::push_command(FrameQueue::Frame frame) {
   if (closed_ || !up_ || send_failed_) return;
-  queue_.push({0, std::move(frame), platform_.reading()});
+  queue_.push(std::move(frame));
   if (writes_) return;
   const IoStatus status = write_pending();
   if (status == IoStatus::ended) {
@@ -161,6 +171,18 @@
   }
 }
 
+void EngineConnection::end_stream(core::StreamId id) {
+  table_.close(id);
+  queue_.withdraw_commands(id);
+}
+
+bool EngineConnection::cancel_has_left(core::StreamId id) {
+  const auto written = cancels_.find(id);
+  if (closed_) return true;
+  if (written == cancels_.end()) return false;
+  return written_bytes_ - socket_.unsent_bytes() >= written->second;
+}
+
 void EngineConnection::write_later() {
   writes_ = true;
   service::spawn_with(platform_.io(), [self = shared_from_this()] { return self->write_on(); });
@@ -194,7 +216,8 @@
     auto fresh = platform_.frame_for(link);
     if (closed_ || queue_.empty() || queue_.front().link != link) continue;  // the look changed the queue
     if (fresh) {
-      queue_.front() = {link, std::move(*fresh), now};
+      queue_.front().bytes = std::move(*fresh);
+      queue_.front().made = now;
       return true;
     }
     queue_.drop_front();
@@ -203,6 +226,12 @@
   return false;
 }
 
+void EngineConnection::wrote(std::size_t bytes) {
+  written_bytes_ += bytes;
+  const auto whole = queue_.wrote(bytes);
+  if (whole && whole->cancels) cancels_[whole->stream] = written_bytes_;
+}
+
 // Writes until nothing waits (progress), or until it can't now, or never again. Whose first byte goes out
 // later than in its own send() is told.
 IoStatus EngineConnection::write_pending() {
@@ -214,7 +243,7 @@
       send_error_ = sent.error;
       return sent.status;
     }
-    queue_.wrote(sent.bytes);
+    wrote(sent.bytes);
     if (first_byte && link != 0 && writes_) platform_.tell(core::QuerySent{link});
     if (closed_) break;
   }
--- a/src/platform/engine_connection.hpp
+++ b/src/platform/engine_connection.hpp
@@ -12,6 +12,8 @@
 #include <string>
 
 #include "core/desk.hpp"
+#include "core/stream_table.hpp"
+#include "core/wire_attempts.hpp"
 #include "frame_queue.hpp"
 #include "protocol/engine_frames/frames.hpp"
 #include "service/socket_calls.hpp"
@@ -25,16 +27,19 @@
   using tcp = boost::asio::ip::tcp;
 
   /// `number`: its own among all of this process, for the log.
-  EngineConnection(Platform& platform, EngineId engine, tcp::endpoint at, std::uint64_t number);
+  EngineConnection(Platform& platform, EngineId engine, tcp::endpoint at, core::ConnectionId number);
 
   void start();
+  /// Gives up all that is open on it. What has not left this machine never does: its end must not wait behind
+  /// bytes that an engine does not read.
   void close();
 
   [[nodiscard]] EngineId engine() const { return engine_; }
-  [[nodiscard]] std::uint64_t number() const { return number_; }
+  [[nodiscard]] core::ConnectionId number() const { return number_; }
   [[nodiscard]] bool up() const { return up_; }
   [[nodiscard]] bool closed() const { return closed_; }
-  [[nodiscard]] bool carries(std::uint64_t id) const { return ids_.contains(id); }
+  [[nodiscard]] core::StreamTable& table() { return table_; }
+  [[nodiscard]] const core::StreamTable& table() const { return table_; }
   [[nodiscard]] std::size_t streams() const { return links_; }
   [[nodiscard]] TimePoint opened() const { return opened_; }
   [[nodiscard]] TimePoint heard() const { return heard_; }  // its last bytes, or when it came up
@@ -52,11 +57,16 @@
 
   // A frame counts from its first byte on: `whole` says that this went out, `partly` that it waits behind
   // others and can still be withdrawn.
-  core::Written send(core::LinkId link, std::uint64_t id, std::string frame);
-  void send_command(std::string frame);
+  core::Written send(core::LinkId link, core::StreamId id, std::string frame);
+  /// About a stream that is open; dropped unsent at its end.
+  void send_command(core::StreamId id, std::string frame);
+  /// The last command about a stream; no engine answers it. See cancel_has_left().
+  void send_cancel(core::StreamId id, std::string frame);
   FrameQueue::Withdrawn withdraw(core::LinkId link) { return queue_.withdraw(link); }
-  // The stream's id is unknown from here on: what comes for it is passed over.
-  void forget(std::uint64_t id) { ids_.erase(id); }
+  /// The stream's end: what comes for it is passed over, and what waits to be said of it is not said.
+  void end_stream(core::StreamId id);
+  /// Whether the cancel that was sent for a stream has left this machine.
+  [[nodiscard]] bool cancel_has_left(core::StreamId id);
 
  private:
   boost::asio::awaitable<void> run();
@@ -66,6 +76,8 @@
   service::IoStatus receive_some();
   service::IoStatus write_pending();
   bool begin_next_frame();
+  void wrote(std::size_t bytes);
+  void push_command(FrameQueue::Frame frame);
   void write_later();
   void sending_failed(const boost::system::error_code& error);
   void lost(core::LinkLoss why, const std::string& what);
@@ -75,12 +87,14 @@
   Platform& platform_;
   EngineId engine_;
   tcp::endpoint at_;
-  std::uint64_t number_;
+  core::ConnectionId number_;
   service::StreamSocket socket_;
   engine_frames::FrameReader reader_;
-  std::map<std::uint64_t, core::LinkId> ids_;
+  core::StreamTable table_;
   std::size_t links_ = 0;
   FrameQueue queue_;
+  std::uint64_t written_bytes_ = 0;  // that the socket took
+  std::map<core::StreamId, std::uint64_t> cancels_;  // written whole: up to which of these; a few at most
   boost::system::error_code send_error_;
   TimePoint opened_{}, heard_{}, used_{};
   std::optional<TimePoint> inside_since_;
--- a/src/platform/frame_queue.hpp
+++ b/src/platform/frame_queue.hpp
@@ -1,18 +1,22 @@
 /// Frames on their way out of one connection, in order; the first may be half written. No I/O.
 #pragma once
 
+#include <algorithm>
 #include <deque>
+#include <optional>
 #include <string>
 #include <string_view>
 
-#include "core/types.hpp"
+#include "core/stream_table.hpp"
 
 namespace paddlestand::platform {
 
 class FrameQueue {
  public:
   struct Frame {
-    core::LinkId link{};  ///< zero: a command that no stream waits for
+    core::LinkId link{};  ///< of a request or a probe; zero: a command about a stream that was opened
+    core::StreamId stream{};
+    bool cancels = false;  ///< a command that ends its stream for the engine
     std::string bytes;
     TimePoint made{};  ///< when its deadline was reckoned
   };
@@ -32,12 +36,14 @@
   }
   /// Drops the first frame, of which nothing was written.
   void drop_front() { frames_.pop_front(); }
-  /// So much of the first frame went out. What is whole leaves the queue.
-  void wrote(std::size_t bytes) {
+  /// So much of the first frame went out. Once it is whole it leaves the queue, and is returned.
+  std::optional<Frame> wrote(std::size_t bytes) {
     written_ += bytes;
-    if (written_ < frames_.front().bytes.size()) return;
+    if (written_ < frames_.front().bytes.size()) return std::nullopt;
+    Frame whole = std::move(frames_.front());
     frames_.pop_front();
     written_ = 0;
+    return whole;
   }
   Withdrawn withdraw(core::LinkId link) {
     for (auto frame = frames_.begin(); frame != frames_.end(); ++frame) {
@@ -48,6 +54,19 @@
     }
     return Withdrawn::unknown;
   }
+  /// Drops the commands about a stream of which nothing went out: behind its end they would speak of
+  /// something that is over.
+  void withdraw_commands(core::StreamId stream) {
+    const auto begun = frames_.begin() + (front_begun() ? 1 : 0);
+    frames_.erase(std::remove_if(begun, frames_.end(),
+                                 [&](const Frame& one) { return one.link == 0 && one.stream == stream; }),
+                  frames_.end());
+  }
+  /// Whether a command that ends this stream for the engine waits here.
+  [[nodiscard]] bool cancels(core::StreamId stream) const {
+    return std::any_of(frames_.begin(), frames_.end(),
+                       [&](const Frame& one) { return one.cancels && one.stream == stream; });
+  }
   void clear() {
     frames_.clear();
     written_ = 0;
--- a/src/platform/platform.cpp
+++ b/src/platform/platform.cpp
@@ -245,28 +245,33 @@
 
 // ---- Engines ----
 
-// An idle connection, the one heard of last; else a new one; else the one with the fewest streams.
-std::shared_ptr<EngineConnection> Platform::connection_for(EngineId engine, core::LinkUse use) {
-  auto& all = connections_[engine];
-  std::shared_ptr<EngineConnection> idle, shared;
+std::shared_ptr<EngineConnection> Platform::connection_for(EngineId engine, core::LinkUse use,
+                                                           core::StreamId id) {
+  const auto& all = connections_[engine];
+  std::vector<core::ConnectionFacts> facts;
+  facts.reserve(all.size());
   for (const auto& connection : all) {
-    if (connection->retired() || connection->closed()) continue;
-    if (connection->streams() == 0 && (!idle || connection->heard() > idle->heard())) idle = connection;
-    if (connection->streams() < config_.streams_per_connection &&
-        (!shared || connection->streams() < shared->streams()))
-      shared = connection;
-  }
-  // A probe is to tell whether the engine can be reached: an old connection may hang alone.
-  if (idle && use != core::LinkUse::probe) {
-    if (!idle->ended()) return idle;
-    connection_lost(idle, core::LinkLoss::closed, "ended");
-    return connection_for(engine, use);
+    const bool takes_streams = !connection->retired() && !connection->closed();
+    facts.push_back(
+        {takes_streams, connection->table().may_carry(id), connection->streams(), connection->heard()});
   }
   const std::size_t engines = std::max<std::size_t>(1, fleet_.size());
-  const std::size_t part = std::max<std::size_t>(2, most_connections_ / engines);
-  if (all.size() < part && (connection_count_ < most_connections_ || shed_idle_connection()))
-    return open_connection(engine);
-  return shared;
+  core::ConnectionLimits limits;
+  limits.streams_per_connection = config_.streams_per_connection;
+  limits.usual = std::max<std::size_t>(2, most_connections_ / engines);
+  limits.room = connection_count_ < most_connections_ || idle_connection() != nullptr;
+  const core::ConnectionChoice choice = core::choose_connection(facts, limits, use);
+  switch (choice.kind) {
+    case core::ConnectionChoice::Kind::none: return nullptr;
+    case core::ConnectionChoice::Kind::open:
+      if (connection_count_ >= most_connections_) drop(idle_connection());
+      return open_connection(engine);
+    case core::ConnectionChoice::Kind::existing: break;
+  }
+  const auto existing = all[choice.index];
+  if (!existing->ended()) return existing;
+  connection_lost(existing, core::LinkLoss::closed, "ended");
+  return connection_for(engine, use, id);
 }
 
 std::shared_ptr<EngineConnection> Platform::open_connection(EngineId engine) {
@@ -280,32 +285,49 @@
   return connection;
 }
 
-bool Platform::shed_idle_connection() {
+// The one that has been idle for longest, of any engine.
+std::shared_ptr<EngineConnection> Platform::idle_connection() const {
   std::shared_ptr<EngineConnection> oldest;
   for (const auto& [engine, all] : connections_) {
     for (const auto& connection : all)
       if (connection->streams() == 0 && (!oldest || connection->used() < oldest->used())) oldest = connection;
   }
-  if (!oldest) return false;
-  drop(oldest);
-  return true;
+  return oldest;
+}
+
+std::shared_ptr<EngineConnection> Platform::find_connection(core::ConnectionId number) const {
+  for (const auto& [engine, all] : connections_)
+    for (const auto& connection : all)
+      if (connection->number() == number) return connection;
+  return nullptr;
 }
 
 void Platform::drop(const std::shared_ptr<EngineConnection>& connection) {
   connection->close();
+  wire_attempts_.connection_closed(connection->number());
   const auto all = connections_.find(connection->engine());
   if (all == connections_.end()) return;
   connection_count_ -= std::erase(all->second, connection);
   if (all->second.empty()) connections_.erase(all);
 }
 
+// The id that a link's frames will have; nothing where its request is over.
+std::optional<core::StreamId> Platform::stream_id_of(const core::OpenLink& effect) {
+  if (effect.use == core::LinkUse::probe) return probe_ids | ++last_probe_;
+  return trace_of(effect.query);
+}
+
 void Platform::carry_out(const core::OpenLink& effect) {
-  const auto connection = connection_for(effect.engine, effect.use);
-  if (!connection) return tell(core::LinkLost{effect.link, core::LinkLoss::local});
+  const auto id = stream_id_of(effect);
+  const auto connection = id ? connection_for(effect.engine, effect.use, *id) : nullptr;
+  if (!connection || !connection->table().reserve(*id, effect.link))
+    return tell(core::LinkLost{effect.link, core::LinkLoss::local});
+  if (connection->table().exhausted()) connection->retire();
   Stream& stream = streams_[effect.link];
   stream.engine = effect.engine;
   stream.use = effect.use;
   stream.connection = connection;
+  stream.id = *id;
   connection->join();
   if (connection->up()) tell(core::LinkUp{effect.link});
 }
@@ -376,7 +398,8 @@
   const auto asked = requests_.find(found->second.query);
   if (!may || asked == requests_.end()) {
     found->second.sent = false;
-    found->second.connection->forget(found->second.id);
+    found->second.connection->table().release(found->second.id);
+    wire_attempts_.ended(found->second.id, found->second.connection->number());
     return std::nullopt;
   }
   found->second.at = now();
@@ -394,9 +417,12 @@
   if (found == streams_.end() || asked == requests_.end()) return core::Written::failed;
   Stream& stream = found->second;
   const Request& request = asked->second;
-  // One id is one stream on a connection: what came for an earlier attempt must not pass for a later one's.
-  if (stream.connection->closed() || stream.connection->carries(request.trace)) return core::Written::failed;
-  stream.id = request.trace;
+  if (stream.connection->closed()) return core::Written::failed;
+  if (!may_begin_attempt(request.trace)) return core::Written::withheld;
+  if (!stream.connection->table().open(stream.id, effect.link)) {
+    count(core::Violation::stream_id_used_twice, hex(stream.id));
+    return core::Written::withheld;
+  }
   stream.query = effect.query;
   stream.memory_mb = effect.memory_mb;
   stream.rank = effect.priority;
@@ -408,12 +434,32 @@
                           std::to_string(effect.attempt) + " engine " + std::to_string(stream.engine) +
                           " connection " + std::to_string(stream.connection->number()) + " rank " +
                           std::to_string(effect.priority) + " grant " + std::to_string(effect.memory_mb));
+  wire_attempts_.began(stream.id, stream.connection->number());
   const core::Written written = stream.connection->send(effect.link, stream.id, std::move(frame));
-  if (written == core::Written::failed) stream.sent = false;
+  if (written == core::Written::failed) {
+    stream.sent = false;
+    wire_attempts_.ended(stream.id, stream.connection->number());
+  }
   check_dispatch(stream, request);
   return written;
 }
 
+// The core is told that a cancelled attempt is over as soon as its cancel was sent. Before the next one
+// begins that must be so for the engine too: where the cancel has not left, the connection's end gives the
+// attempt up.
+bool Platform::may_begin_attempt(std::uint64_t trace) {
+  for (const core::ConnectionId number : wire_attempts_.being_cancelled(trace)) {
+    const auto connection = find_connection(number);
+    if (connection && !connection->cancel_has_left(trace))
+      connection_lost(connection, core::LinkLoss::closed,
+                      "a cancel could not be sent before the next attempt");
+    wire_attempts_.ended(trace, number);
+  }
+  if (!wire_attempts_.out(trace)) return true;
+  count(core::Violation::second_attempt_out, hex(trace));
+  return false;
+}
+
 // The rule's own decision is held against what is so once the bytes have left.
 void Platform::check_dispatch(const Stream& stream, const Request& request) {
   if (!stream.sent) return;
@@ -426,7 +472,7 @@
   const auto found = streams_.find(effect.link);
   if (found == streams_.end() || found->second.connection->closed()) return core::Written::failed;
   Stream& stream = found->second;
-  stream.id = probe_ids | ++last_probe_;
+  if (!stream.connection->table().open(stream.id, effect.link)) return core::Written::withheld;
   stream.sent = true;
   stream.at = now();
   const core::Written written = stream.connection->send(effect.link, stream.id, probe_frame(stream));
@@ -469,7 +515,7 @@
         answer.code == engine_frames::Reply::well ? core::Ending::complete : core::Ending::engine_error;
     end.report = report_of(answer);
     stream.ended = true;
-    connection.forget(stream.id);
+    connection.end_stream(stream.id);
     if (trace_) log_.info("probe", "engine " + std::to_string(stream.engine));
     tell(end);
     return {};
@@ -481,17 +527,12 @@
     std::string frames;
     for (std::uint32_t page = 1; page < more->pages; ++page)
       engine_frames::put_page_wanted(frames, stream.id, page);
-    connection.send_command(std::move(frames));
+    connection.send_command(stream.id, std::move(frames));
     return {};
   }
   const auto* done = std::get_if<PagedAnswer::Done>(&step);
   if (done == nullptr) return {};
   const engine_frames::Answer& head = stream.answer.head();
-  if (head.pages > 1) {
-    std::string frame;
-    engine_frames::put_no_more(frame, stream.id);
-    connection.send_command(std::move(frame));
-  }
   core::AnswerEnd end;
   end.link = link;
   end.ending = done->ending;
@@ -501,31 +542,43 @@
   end.report = report_of(head);
   stream.ended = true;
   log_attempt_end(stream, "answered, code " + std::to_string(static_cast<int>(head.code)));
-  connection.forget(stream.id);
+  connection.end_stream(stream.id);
+  if (head.pages > 1) {
+    std::string frame;
+    engine_frames::put_no_more(frame, stream.id);
+    connection.send_command(stream.id, std::move(frame));
+  }
+  wire_attempts_.ended(stream.id, connection.number());
   tell(end);
   return {};
 }
 
+// From here on the attempt is over for the core; for the engine once its cancel has left, or the connection
+// is closed (may_begin_attempt).
 void Platform::give_up(core::LinkId link, Stream& stream) {
   if (!stream.sent || stream.ended) return;
   stream.ended = true;
   EngineConnection& connection = *stream.connection;
   if (connection.closed()) return;
-  connection.forget(stream.id);
   switch (connection.withdraw(link)) {
-    case FrameQueue::Withdrawn::whole: return;
+    case FrameQueue::Withdrawn::whole:
+      connection.table().release(stream.id);
+      return wire_attempts_.ended(stream.id, connection.number());
     case FrameQueue::Withdrawn::half:
       // The engine must never get the rest, and nothing can follow half a frame.
       return connection_lost(stream.connection, core::LinkLoss::closed,
                              "a request was given up half written");
     case FrameQueue::Withdrawn::unknown: break;
   }
+  connection.end_stream(stream.id);
   connection.retire();
   if (stream.use == core::LinkUse::probe) return;
   std::string frame;
   stream.answer.paging() ? engine_frames::put_no_more(frame, stream.id)
                          : engine_frames::put_give_up(frame, stream.id);
-  connection.send_command(std::move(frame));
+  connection.send_cancel(stream.id, std::move(frame));
+  connection.cancel_has_left(stream.id) ? wire_attempts_.ended(stream.id, connection.number())
+                                        : wire_attempts_.cancelling(stream.id, connection.number());
 }
 
 // The protocol gives up at once and without an answer.
@@ -543,7 +596,7 @@
   std::string frame;
   found->second.rank = effect.priority;
   engine_frames::put_priority(frame, found->second.id, effect.priority);
-  found->second.connection->send_command(std::move(frame));
+  found->second.connection->send_command(found->second.id, std::move(frame));
 }
 
 void Platform::carry_out(const core::CloseLink& effect) {
@@ -551,6 +604,7 @@
   if (found == streams_.end()) return;
   give_up(effect.link, found->second);
   const auto connection = found->second.connection;
+  if (!found->second.sent) connection->table().release(found->second.id);
   streams_.erase(found);
   connection->leave(now());
   if (connection->closed() || connection->streams() > 0) return;
--- a/src/platform/platform.hpp
+++ b/src/platform/platform.hpp
@@ -15,6 +15,8 @@
 
 #include "client.hpp"
 #include "config.hpp"
+#include "core/connection_choice.hpp"
+#include "core/wire_attempts.hpp"
 #include "discovery_watch.hpp"
 #include "engine_connection.hpp"
 #include "fleet.hpp"
@@ -103,7 +105,7 @@
     core::LinkUse use{};
     std::shared_ptr<EngineConnection> connection;
     core::QueryId query = 0;
-    std::uint64_t id = 0;
+    core::StreamId id = 0;
     double memory_mb = 0;
     std::uint8_t rank = 0;
     bool sent = false, ended = false;
@@ -141,11 +143,15 @@
   bool make_room();
   void end_if_left();
   Fleet::Taken apply(const command_channel::Event& event);
-  std::shared_ptr<EngineConnection> connection_for(EngineId engine, core::LinkUse use);
+  std::optional<core::StreamId> stream_id_of(const core::OpenLink& effect);
+  std::shared_ptr<EngineConnection> connection_for(EngineId engine, core::LinkUse use, core::StreamId id);
+  [[nodiscard]] std::shared_ptr<EngineConnection> idle_connection() const;
+  [[nodiscard]] std::shared_ptr<EngineConnection> find_connection(core::ConnectionId number) const;
+  // Whether an attempt of this request may go out now; what was cancelled is over for its engine then.
+  bool may_begin_attempt(std::uint64_t trace);
   std::shared_ptr<EngineConnection> open_connection(EngineId engine);
   void drop(const std::shared_ptr<EngineConnection>& connection);
   void give_up(core::LinkId link, Stream& stream);
-  bool shed_idle_connection();
   void sweep_connections(TimePoint at);
   void log_attempt_end(const Stream& stream, std::string_view how);
   LoadReport report_of(const engine_frames::Answer& answer) const;
@@ -163,11 +169,13 @@
   std::map<core::LinkId, Stream> streams_;  // in the order of links: what follows from a loss has one order
   std::map<EngineId, std::vector<std::shared_ptr<EngineConnection>>> connections_;
   std::size_t connection_count_ = 0;
+  core::WireAttempts wire_attempts_;
   Fleet fleet_;
   std::size_t most_clients_ = 0, most_connections_ = 0;
   std::size_t most_backlog_ = 0;
   std::size_t statement_bytes_ = 0;  // of the requests that are open
-  std::uint64_t last_client_ = 0, last_session_ = 0, last_probe_ = 0, last_connection_ = 0;
+  std::uint64_t last_client_ = 0, last_session_ = 0, last_probe_ = 0;
+  core::ConnectionId last_connection_ = 0;
   std::uint64_t frames_without_stream_ = 0;
   std::uint64_t turned_away_ = 0;
   std::size_t dropped_bytes_ = 0;
--- a/src/service/socket_calls.cpp
+++ b/src/service/socket_calls.cpp
@@ -1,6 +1,8 @@
 #include "socket_calls.hpp"
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -72,6 +74,12 @@
   return repeat(SystemCall::shut_down, [&] { return ::shutdown(socket, SHUT_WR); }).status != IoStatus::ended;
 }
 
+std::size_t unsent_bytes(int socket) {
+  int bytes = 0;
+  if (::ioctl(socket, SIOCOUTQNSD, &bytes) != 0 || bytes < 0) return 0;
+  return static_cast<std::size_t>(bytes);
+}
+
 void set_no_delay(int socket) {
   constexpr int tries = 8;
   const int on = 1;
@@ -153,6 +161,18 @@
   socket_.close(ignored);
 }
 
+void StreamSocket::reset() {
+  constexpr int tries = 8;
+  const linger at_once{1, 0};
+  for (int i = 0; i < tries; ++i)
+    if (::setsockopt(socket_.native_handle(), SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once)) == 0) break;
+  close();
+}
+
+std::size_t StreamSocket::unsent_bytes() {
+  return is_open() ? service::unsent_bytes(socket_.native_handle()) : 0;
+}
+
 bool StreamSocket::surely_empty() {
   char next{};
   return is_open() && peek({&next, 1}).status == IoStatus::would_block;
--- a/src/service/socket_calls.hpp
+++ b/src/service/socket_calls.hpp
@@ -37,6 +37,9 @@
 IoResult send(int socket, std::string_view bytes);
 /// Ends this side of the connection; the other one may still write. False where the connection is gone.
 bool shut_down_sending(int socket);
+/// How much of what was written has not left this machine, since the peer does not read; zero where the
+/// system can't tell.
+std::size_t unsent_bytes(int socket);
 /// Small writes leave at once. What fails for a moment is tried a few times; its loss costs only delay.
 void set_no_delay(int socket);
 
@@ -70,6 +73,9 @@
   IoResult send(std::string_view bytes);
   bool shut_down_sending();
   void close();
+  /// Ends the connection without waiting behind bytes that the peer does not read: they are dropped.
+  void reset();
+  [[nodiscard]] std::size_t unsent_bytes();
   [[nodiscard]] bool is_open() const { return socket_.is_open(); }
   [[nodiscard]] boost::asio::io_context& io();
   /// Whether nothing is here to be read; a look that failed is no such knowledge.
