Fault runs: engines' late frames, and one attempt out for every class by their own account

The judge believed the manager's end of an attempt and held 'one attempt out' for no class. Engines now write down when an attempt has ended for them (answered, cancelled, closed); the profile 'late' has them send copies, frames behind an end and errors for pages.

--- a/tests/faults/engine.cpp
+++ b/tests/faults/engine.cpp
@@ -7,6 +7,7 @@
 #include <list>
 #include <map>
 #include <random>
+#include <set>
 
 #include "event_log.hpp"
 #include "processes.hpp"
@@ -18,13 +19,26 @@
 constexpr std::int64_t millisecond = 1'000'000;
 constexpr double chance_full = 0.02, chance_error = 0.02, chance_reset = 0.01, chance_silent = 0.01,
                  chance_spoilt = 0.005, chance_idle_close = 0.02, chance_pages = 0.1;
+// Of what the protocol lets an engine say about a request that has ended for it.
+constexpr double chance_over = 0.02, chance_copy = 0.05, chance_late_answer = 0.05, chance_unknown_page = 0.1;
+constexpr std::int64_t longest_copy_delay_ms = 40;
 constexpr std::int64_t least_work_ms = 2, most_work_ms = 60;
 
 struct Peer {
   explicit Peer(Connection made) : connection(std::move(made)), frames(engine_frames::Side::manager) {}
   Connection connection;
   engine_frames::FrameReader frames;
+  std::uint32_t number = 0;
   std::map<std::uint64_t, std::uint32_t> pages;  // that a manager may still ask for, by request
+  std::multiset<std::uint64_t> out;  // requests whose end was not written yet
+};
+
+// A frame about a request that has ended, on its way.
+struct LateFrame {
+  std::list<Peer>::iterator peer;
+  engine_frames::Reply code{};
+  std::uint64_t trace{};
+  std::string fields, body;
 };
 
 struct Due {
@@ -51,6 +65,7 @@
     for (;;) {
       wait();
       answer_due();
+      send_late_frames();
     }
   }
 
@@ -58,6 +73,9 @@
   bool chance(double share) {
     return std::uniform_real_distribution<double>(0, 1)(random_) < share * options_.trouble;
   }
+  bool chance_late(double share) {
+    return std::uniform_real_distribution<double>(0, 1)(random_) < share * options_.late;
+  }
   [[nodiscard]] bool hangs() const {
     const double now = static_cast<double>(monotonic_now() - began_) * 1e-9;
     return now >= options_.hang_from_s && now < options_.hang_until_s;
@@ -72,8 +90,11 @@
       order.push_back(peer);
     }
     std::int64_t rest_ms = 50;
-    if (!due_.empty())
-      rest_ms = std::clamp<std::int64_t>((due_.begin()->first - monotonic_now()) / millisecond + 1, 0, 50);
+    const auto heed = [&](std::int64_t due) {
+      rest_ms = std::min(rest_ms, std::clamp<std::int64_t>((due - monotonic_now()) / millisecond + 1, 0, 50));
+    };
+    if (!due_.empty()) heed(due_.begin()->first);
+    if (!late_.empty()) heed(late_.begin()->first);
     ::poll(all.data(), all.size(), static_cast<int>(rest_ms));
     if ((all[0].revents & POLLIN) != 0) accept_one();
     for (std::size_t i = 0; i < order.size(); ++i) {
@@ -87,11 +108,13 @@
     if (socket < 0) return;
     const int one = 1;
     ::setsockopt(socket, SOL_SOCKET, SO_TIMESTAMPNS, &one, sizeof(one));
-    peers_.emplace_back(Connection(socket));
+    peers_.emplace_back(Connection(socket)).number = ++last_peer_;
   }
 
   void drop(std::list<Peer>::iterator peer) {
     std::erase_if(due_, [&](const auto& one) { return one.second.peer == peer; });
+    std::erase_if(late_, [&](const auto& one) { return one.second.peer == peer; });
+    while (!peer->out.empty()) end_attempt(*peer, *peer->out.begin(), monotonic_now(), "closed");
     peers_.erase(peer);
   }
 
@@ -124,10 +147,19 @@
         const auto page = engine_frames::count_in(frame.fields);
         const auto known = peer.pages.find(frame.id);
         if (!page || known == peer.pages.end() || hangs()) return;
+        if (chance_late(chance_unknown_page))
+          return reply(peer, engine_frames::Reply::error, frame.id, "", "");
         return reply(peer, engine_frames::Reply::page, frame.id, "part_no=" + std::to_string(*page),
                      page_of(frame.id, *page));
       }
       case engine_frames::Command::give_up:
+        end_attempt(peer, frame.id, came, "cancelled");
+        // What is on its way already comes all the same.
+        if (!chance_late(chance_late_answer))
+          std::erase_if(due_, [&](const auto& one) {
+            return one.second.peer == place && one.second.trace == frame.id;
+          });
+        return;
       case engine_frames::Command::no_more: peer.pages.erase(frame.id); return;
       case engine_frames::Command::priority: return;
     }
@@ -141,11 +173,46 @@
     event.subject = options_.number;
     event.value = engine_frames::count_in(engine_frames::field(frame.fields, "ms").value_or("0")).value_or(0);
     event.detail = engine_frames::field(frame.fields, "kind").value_or("?");
+    event.port = place->number;
     log_.write(event);
+    place->out.insert(frame.id);
     const auto work = std::uniform_int_distribution<std::int64_t>(least_work_ms, most_work_ms)(random_);
     due_.emplace(monotonic_now() + work * millisecond, Due{place, frame.id});
   }
 
+  // By this engine's account; a request that it does not have out has ended before.
+  void end_attempt(Peer& peer, std::uint64_t trace, std::int64_t at, const char* how) {
+    const auto found = peer.out.find(trace);
+    if (found == peer.out.end()) return;
+    peer.out.erase(found);
+    RunEvent event;
+    event.kind = EventKind::attempt_ended;
+    event.at = at;
+    event.trace = trace;
+    event.subject = options_.number;
+    event.port = peer.number;
+    event.detail = how;
+    log_.write(event);
+  }
+
+  // Its final answer, and perhaps a copy behind it.
+  void finish(std::list<Peer>::iterator place, engine_frames::Reply code, std::uint64_t trace,
+              const std::string& fields = "", const std::string& body = "") {
+    end_attempt(*place, trace, monotonic_now(), "answered");
+    reply(*place, code, trace, fields, body);
+    if (!chance_late(chance_copy)) return;
+    const auto delay = std::uniform_int_distribution<std::int64_t>(0, longest_copy_delay_ms)(random_);
+    late_.emplace(monotonic_now() + delay * millisecond, LateFrame{place, code, trace, fields, body});
+  }
+
+  void send_late_frames() {
+    while (!late_.empty() && late_.begin()->first <= monotonic_now()) {
+      const LateFrame late = std::move(late_.begin()->second);
+      late_.erase(late_.begin());
+      reply(*late.peer, late.code, late.trace, late.fields, late.body);
+    }
+  }
+
   void reply(Peer& peer, engine_frames::Reply code, std::uint64_t id, std::string_view fields,
              std::string_view body) {
     std::string bytes;
@@ -168,9 +235,20 @@
     Peer& peer = *due.peer;
     if (chance(chance_full)) {
       log_.write({EventKind::rejected, monotonic_now(), due.trace, options_.number, 0, 0, 0, false, ""});
-      return reply(peer, engine_frames::Reply::full, due.trace, "", "");
+      return finish(due.peer, engine_frames::Reply::full, due.trace);
+    }
+    if (chance_late(chance_over)) {
+      log_.write({EventKind::rejected, monotonic_now(), due.trace, options_.number, 0, 0, 0, false, ""});
+      return finish(due.peer, engine_frames::Reply::over, due.trace);
+    }
+    if (chance(chance_error)) {
+      finish(due.peer, engine_frames::Reply::error, due.trace);
+      // It failed here, and its answer comes all the same.
+      if (chance_late(chance_late_answer))
+        late_.emplace(monotonic_now(), LateFrame{due.peer, engine_frames::Reply::ok, due.trace,
+                                                 "parts=1,work=5,peak=10", page_of(due.trace, 0)});
+      return;
     }
-    if (chance(chance_error)) return reply(peer, engine_frames::Reply::error, due.trace, "", "");
     if (chance(chance_silent)) return;
     if (chance(chance_reset)) {
       peer.connection.reset();
@@ -184,8 +262,8 @@
     const bool paged = std::uniform_real_distribution<double>(0, 1)(random_) < chance_pages;
     const std::uint32_t pages = paged ? 3 : 1;
     if (paged) peer.pages[due.trace] = pages;
-    reply(peer, engine_frames::Reply::ok, due.trace, "parts=" + std::to_string(pages) + ",work=5,peak=10",
-          page_of(due.trace, 0));
+    finish(due.peer, engine_frames::Reply::ok, due.trace,
+           "parts=" + std::to_string(pages) + ",work=5,peak=10", page_of(due.trace, 0));
     if (chance(chance_idle_close) &&
         std::none_of(due_.begin(), due_.end(),
                      [&](const auto& one) { return one.second.peer == due.peer; }) &&
@@ -200,6 +278,8 @@
   std::int64_t began_;
   std::list<Peer> peers_;
   std::multimap<std::int64_t, Due> due_;
+  std::multimap<std::int64_t, LateFrame> late_;
+  std::uint32_t last_peer_ = 0;
 };
 
 }  // namespace
--- a/tests/faults/event_log.hpp
+++ b/tests/faults/event_log.hpp
@@ -22,6 +22,7 @@
   unanswered,  // long after the client's patience
   begun,  // at an engine: the request came whole
   rejected,  // by an engine, before it ran
+  attempt_ended,  // at an engine; `detail`: answered, cancelled or closed
   crashed,  // a manager was killed without notice
   killed,  // a manager was killed as announced by SIGTERM
   draining,  // an engine was told to drain, or is gone
@@ -37,7 +38,7 @@
   std::uint32_t subject{};  // manager or engine
   std::int64_t value{};  // asked: patience, ms; begun: the time that the engine was given, ms
   std::int64_t began{};  // asked: just before the first byte was written; left, ended: when it was asked
-  std::uint32_t port{};  // the client's, on the connection
+  std::uint32_t port{};  // the client's, on the connection; begun, attempt_ended: the engine's connection
   bool first = false;  // asked: one of the first requests on its connection
   std::string detail;  // asked, begun: the class
 };
--- a/tests/faults/main.cpp
+++ b/tests/faults/main.cpp
@@ -37,6 +37,7 @@
   engine_command->add_option("--number", engine.number);
   engine_command->add_option("--seed", engine.seed);
   engine_command->add_option("--trouble", engine.trouble);
+  engine_command->add_option("--late", engine.late);
   engine_command->add_option("--hang-from", engine.hang_from_s);
   engine_command->add_option("--hang-until", engine.hang_until_s);
   engine_command->callback([&] {
--- a/tests/faults/processes.hpp
+++ b/tests/faults/processes.hpp
@@ -18,6 +18,7 @@
   std::uint32_t number = 0;
   std::uint64_t seed = 1;
   double trouble = 0;  // scales the chances of errors, resets, lost and spoilt answers
+  double late = 0;  // scales the chances of copies, frames behind an end, pages that are known no more
   double hang_from_s = 0, hang_until_s = 0;  // since its start; equal: never
 };
 int run_engine(const EngineOptions& options);
--- a/tests/faults/profiles.cpp
+++ b/tests/faults/profiles.cpp
@@ -62,6 +62,7 @@
   profile.engines = 16;
   profile.clients = 8;
   profile.trouble = either(0.7) ? 1 : 0;
+  profile.late = either(0.7) ? 1 : 0;
   profile.crowd = either(0.2) ? 12 : 0;
   profile.clients_misbehave = either(0.8);
   profile.rolls = either(0.8);
@@ -113,6 +114,14 @@
     profile.rolls = profile.reloads = profile.clients_misbehave = profile.hangs = true;
     return profile;
   }
+  if (name == "late") {
+    Profile profile = calm(name, {"", "recv short 0.3; send short 0.3", "send ENOBUFS 0.02"});
+    profile.trouble = 2;
+    profile.late = 4;
+    profile.engines = 2;  // further attempts mostly go where the earlier ones went
+    profile.clients_misbehave = profile.hangs = true;
+    return profile;
+  }
   if (name == "stall") {
     Profile profile = calm(name, {""});
     profile.stops = profile.clients_misbehave = true;
@@ -120,7 +129,7 @@
   }
   throw std::runtime_error("profile '" + name +
                            "'; wanted: calm, receive, send, start, connect, accept, broken, clock, shutdown, "
-                           "stall or soak");
+                           "late, stall or soak");
 }
 
 }  // namespace paddlestand::faults
--- a/tests/faults/profiles.hpp
+++ b/tests/faults/profiles.hpp
@@ -13,6 +13,7 @@
   std::uint32_t managers = 3, engines = 4, clients = 3;
   double requests_per_s = 60;  // of each client process
   double trouble = 0;  // at engines
+  double late = 0;  // frames of engines about attempts that have ended
   std::uint32_t crowd = 0;  // idle connections of each client process to each manager
   bool clients_misbehave = false;
   bool rolls = false;  // planned restarts: SIGTERM, signals in between, SIGKILL at the earliest
--- a/tests/faults/run.cpp
+++ b/tests/faults/run.cpp
@@ -99,8 +99,9 @@
     engines_.emplace_back(options_.self, "engine", "--listen", listen.text(), "--log",
                           path("engine" + std::to_string(place) + ".events"), "--number",
                           std::to_string(first_engine + place), "--seed", std::to_string(options_.seed),
-                          "--trouble", std::to_string(profile_.trouble), "--hang-from",
-                          std::to_string(hang_from), "--hang-until", std::to_string(hang_until));
+                          "--trouble", std::to_string(profile_.trouble), "--late",
+                          std::to_string(profile_.late), "--hang-from", std::to_string(hang_from),
+                          "--hang-until", std::to_string(hang_until));
   }
   static command_channel::Record record_of(std::uint32_t place) {
     command_channel::Record record;
--- a/tests/faults/verdict.cpp
+++ b/tests/faults/verdict.cpp
@@ -1,6 +1,7 @@
 #include "verdict.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -13,12 +14,14 @@
 constexpr std::int64_t late_attempt = 150 * millisecond;  // after the client has gone
 constexpr std::int64_t deadline_slack = 150;  // ms, of what an engine is given
 constexpr std::int64_t crossing = 70 * millisecond;  // a request that crosses a connection's end
+// An engine sees a cancel or a close once its loop comes to it; the manager may have gone on at once.
+constexpr std::int64_t end_seen = 50 * millisecond;
 constexpr std::int64_t crash_seen = 1000 * millisecond;  // until clients see that a manager was killed
 
 struct Story {
   std::optional<RunEvent> asked;
   std::optional<RunEvent> outcome;
-  std::vector<RunEvent> answers, begun, rejected;
+  std::vector<RunEvent> answers, begun, rejected, ended;  // the last three at engines
   std::optional<std::int64_t> gone;  // cancelled, or its client left
 };
 
@@ -34,6 +37,7 @@
       nothing_after_its_end(story);
       deadline_is_true(story);
       effect_once(story);
+      one_attempt_out(story);
       drains_kept(story);
     }
     return std::move(verdict_);
@@ -77,6 +81,7 @@
         case EventKind::unanswered: story->outcome = event; break;
         case EventKind::begun: story->begun.push_back(event); break;
         case EventKind::rejected: story->rejected.push_back(event); break;
+        case EventKind::attempt_ended: story->ended.push_back(event); break;
         case EventKind::crashed: crashes_[event.subject].push_back(event.at); break;
         case EventKind::killed: kills_[event.subject].push_back(event.at); break;
         case EventKind::draining: draining_.try_emplace(event.subject, event.at); break;
@@ -157,6 +162,30 @@
       violation("refusal", story, "was called refused, and had begun");
   }
 
+  // By the engines' own account, whatever the manager believed, for every class.
+  void one_attempt_out(const Story& story) {
+    std::vector<RunEvent> ends = story.ended;
+    std::optional<std::int64_t> out_until;
+    for (const RunEvent& begun : story.begun) {
+      if (out_until && begun.at < *out_until)
+        violation("concurrent", story,
+                  "begun at engine " + std::to_string(begun.subject) + " while another attempt was out");
+      const std::int64_t end = end_of(begun, ends);
+      out_until = std::max(out_until.value_or(end), end);
+    }
+  }
+
+  // When the attempt was certainly over for its engine; the event is taken from `ends`.
+  static std::int64_t end_of(const RunEvent& begun, std::vector<RunEvent>& ends) {
+    const auto end = std::find_if(ends.begin(), ends.end(), [&](const RunEvent& one) {
+      return one.subject == begun.subject && one.port == begun.port && one.at >= begun.at;
+    });
+    if (end == ends.end()) return std::numeric_limits<std::int64_t>::max();
+    const std::int64_t at = end->detail == "answered" ? end->at : end->at - end_seen;
+    ends.erase(end);
+    return at;
+  }
+
   void drains_kept(const Story& story) {
     for (const RunEvent& begun : story.begun) {
       const auto drain = draining_.find(begun.subject);
