What an engine's earlier process still says is no news of the one that runs now

A request whose id is open is refused only after its holder's connection was read: a client that sends once more may do so before the end of its old connection is seen.

--- a/fuzz/command_channel.cpp
+++ b/fuzz/command_channel.cpp
@@ -25,7 +25,8 @@
       } else if (const auto* event = std::get_if<command_channel::Event>(&next)) {
         const std::uint64_t before = fleet.last();
         core::FleetTold changed;
-        const auto taken = fleet.take(*event, changed);
+        std::vector<EngineId> processes_ended;
+        const auto taken = fleet.take(*event, changed, processes_ended);
         if (taken == platform::Fleet::Taken::applied ? fleet.last() <= before : fleet.last() != before)
           fuzz::fail("the number of the last event went wrong");
         fleet.forget_gone();
--- a/src/core/conductor.cpp
+++ b/src/core/conductor.cpp
@@ -469,14 +469,15 @@
   const std::vector<LinkId> idle = pools_[engine].idle();
   for (const LinkId id : idle) close(id);
   // What has not been handed over yet must not be: by the time that its link is up, the grace may be over.
-  std::vector<LinkId> unsent;
+  std::vector<LinkId> ended;
   for (const auto& [id, link] : links_) {
     if (seeded(Defect::drain_spares_opening_links) && link.state.is(LinkState::opening)) continue;
-    if (link.engine == engine && (link.state.is(LinkState::opening) || link.state.is(LinkState::sending)))
-      unsent.push_back(id);
+    const bool unsent_query = link.state.is(LinkState::opening) || link.state.is(LinkState::sending);
+    // What a probe finds out hereafter would be credited to the process that comes after this one.
+    if (link.engine == engine && (unsent_query || link.use == LinkUse::probe)) ended.push_back(id);
   }
-  std::sort(unsent.begin(), unsent.end());
-  for (const LinkId id : unsent) {
+  std::sort(ended.begin(), ended.end());
+  for (const LinkId id : ended) {
     LinkRecord& link = links_.at(id);
     if (link.use == LinkUse::probe) {
       end_probe(id, Result::moot, nullptr);
--- a/src/platform/fleet.cpp
+++ b/src/platform/fleet.cpp
@@ -1,18 +1,32 @@
 #include "fleet.hpp"
 
+#include <set>
+
 namespace paddlestand::platform {
 
-Fleet::Taken Fleet::take(const command_channel::Event& event, core::FleetTold& told) {
+Fleet::Taken Fleet::take(const command_channel::Event& event, core::FleetTold& told,
+                         std::vector<EngineId>& ended) {
   if (event.number <= last_) return Taken::seen;
   // A whole list needs nothing before it.
   if (!event.whole && event.number != last_ + 1) return Taken::gap;
   last_ = event.number;
   told.scope = event.whole ? FleetScope::full : FleetScope::delta;
-  if (event.whole)
-    for (auto& [id, engine] : engines_) engine.gone = true;
+  std::set<EngineId> named;
   for (const command_channel::Record& record : event.records) {
-    engines_[record.entry.engine] = {{record.address, record.port}, record.entry.state == EngineState::gone};
+    const EngineId id = record.entry.engine;
+    const Engine now{
+        {record.address, record.port}, record.entry.started, record.entry.state == EngineState::gone};
+    const auto [known, fresh] = engines_.try_emplace(id, now);
+    if (!fresh && !known->second.same_process(now)) ended.push_back(id);
+    known->second = now;
     told.engines.push_back(record.entry);
+    if (event.whole) named.insert(id);
+  }
+  if (!event.whole) return Taken::applied;
+  for (auto& [id, engine] : engines_) {
+    if (named.contains(id) || engine.gone) continue;
+    engine.gone = true;
+    ended.push_back(id);
   }
   return Taken::applied;
 }
--- a/src/platform/fleet.hpp
+++ b/src/platform/fleet.hpp
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <optional>
+#include <vector>
 
 #include "config.hpp"
 
@@ -17,8 +18,9 @@
     gap,  // an event before it is missing: to be asked for
   };
 
-  // What it changed is in `told`; start times count from 1970.
-  Taken take(const command_channel::Event& event, core::FleetTold& told);
+  // What it changed is in `told`; start times count from 1970. `ended`: engines whose process is another one
+  // from here on, or none: gone, moved or started anew.
+  Taken take(const command_channel::Event& event, core::FleetTold& told, std::vector<EngineId>& ended);
   // Forgets the addresses of engines that are gone, once nothing can be sent to them any more.
   void forget_gone();
 
@@ -29,7 +31,11 @@
  private:
   struct Engine {
     Address at;
+    TimePoint started{};
     bool gone = false;
+    [[nodiscard]] bool same_process(const Engine& other) const {
+      return !gone && !other.gone && at == other.at && started == other.started;
+    }
   };
   std::uint64_t last_ = 0;
   std::map<EngineId, Engine> engines_;
--- a/src/platform/platform.cpp
+++ b/src/platform/platform.cpp
@@ -167,17 +167,33 @@
                           std::to_string(arrived.told_cost ? arrived.told_cost->count() / 1000000 : 0) +
                           " patience_ms " + std::to_string(arrived.patience.count() / 1000000) + " key " +
                           hex(arrived.order_key));
-  traces_.insert(request.trace);
+  traces_[request.trace] = session;
   statement_bytes_ += request.statement.size();
   requests_.emplace(session, std::move(request));
   tell(core::SessionOpened{session});
   tell(arrived);
 }
 
+// A client that sends a request once more, on a new connection, may do so before the end of its old one was
+// read here.
+bool Platform::trace_open(std::uint64_t trace) {
+  const auto open = traces_.find(trace);
+  if (open == traces_.end()) return false;
+  const std::shared_ptr<Client> holder = requests_.at(open->second).client;
+  holder->read_now();
+  return traces_.contains(trace);
+}
+
+void Platform::forget_trace(std::uint64_t trace, core::SessionId session) {
+  const auto open = traces_.find(trace);
+  if (open != traces_.end() && open->second == session) traces_.erase(open);
+}
+
 void Platform::let_go(core::SessionId session) {
   const auto found = requests_.find(session);
   if (found == requests_.end() || found->second.let_go) return;
   found->second.let_go = true;
+  forget_trace(found->second.trace, session);
   if (trace_) log_.info("client left", hex(found->second.trace) + " query " + std::to_string(session));
   tell(core::SessionClosed{session});
 }
@@ -224,7 +240,7 @@
   if (found == requests_.end()) return;
   const Request request = std::move(found->second);
   requests_.erase(found);
-  traces_.erase(request.trace);
+  forget_trace(request.trace, effect.session);
   statement_bytes_ -= request.statement.size();
   if (request.let_go) return;
   tell(core::SessionClosed{effect.session});
@@ -317,6 +333,17 @@
   return trace_of(effect.query);
 }
 
+// They lead to a process that is no more: nothing goes out on them to the one that comes after it.
+void Platform::retire_connections(EngineId engine) {
+  const auto found = connections_.find(engine);
+  if (found == connections_.end()) return;
+  const auto all = found->second;
+  for (const auto& connection : all) {
+    connection->retire();
+    if (connection->streams() == 0) drop(connection);
+  }
+}
+
 void Platform::carry_out(const core::OpenLink& effect) {
   const auto id = stream_id_of(effect);
   const auto connection = id ? connection_for(effect.engine, effect.use, *id) : nullptr;
@@ -692,8 +719,10 @@
 
 Fleet::Taken Platform::apply(const command_channel::Event& event) {
   core::FleetTold told;
-  const Fleet::Taken taken = fleet_.take(event, told);
+  std::vector<EngineId> ended;
+  const Fleet::Taken taken = fleet_.take(event, told, ended);
   if (taken != Fleet::Taken::applied) return taken;
+  for (const EngineId engine : ended) retire_connections(engine);
   engine_starts_.map(now(), told.engines);
   if (trace_)
     for (const EngineEntry& entry : told.engines)
--- a/src/platform/platform.hpp
+++ b/src/platform/platform.hpp
@@ -11,7 +11,6 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
-#include <unordered_set>
 
 #include "client.hpp"
 #include "config.hpp"
@@ -62,7 +61,8 @@
   [[nodiscard]] const jsonrpc::CallReader& calls() const { return calls_; }
   [[nodiscard]] bool green() const { return told_ && !terminated_; }
   [[nodiscard]] core::SessionId next_session() { return ++last_session_; }
-  [[nodiscard]] bool trace_open(std::uint64_t trace) const { return traces_.contains(trace); }
+  // Whether a client that is still there has a request with this id open; who has it is read first.
+  bool trace_open(std::uint64_t trace);
   [[nodiscard]] std::optional<std::uint64_t> trace_of(core::SessionId session) const;
   void ask(const std::shared_ptr<Client>& client, core::SessionId session, jsonrpc::Query query);
   void let_go(core::SessionId session);  // its client waits no longer
@@ -128,6 +128,7 @@
   void carry_out(const core::Left& effect) override;
   using DeskHost::carry_out;
 
+  void forget_trace(std::uint64_t trace, core::SessionId session);
   void take(tcp::socket socket, Duration waited);
   // Whether the query that a stream carries may go out now, its client heard first.
   bool may_dispatch(core::QueryId query);
@@ -150,6 +151,7 @@
   // Whether an attempt of this request may go out now; what was cancelled is over for its engine then.
   bool may_begin_attempt(std::uint64_t trace);
   std::shared_ptr<EngineConnection> open_connection(EngineId engine);
+  void retire_connections(EngineId engine);
   void drop(const std::shared_ptr<EngineConnection>& connection);
   void give_up(core::LinkId link, Stream& stream);
   void sweep_connections(TimePoint at);
@@ -165,7 +167,7 @@
 
   std::map<std::uint64_t, std::shared_ptr<Client>> clients_;
   std::unordered_map<core::SessionId, Request> requests_;  // a session asks the query of its own number
-  std::unordered_set<std::uint64_t> traces_;  // of the requests that are open
+  std::unordered_map<std::uint64_t, core::SessionId> traces_;  // of requests whose clients wait
   std::map<core::LinkId, Stream> streams_;  // in the order of links: what follows from a loss has one order
   std::map<EngineId, std::vector<std::shared_ptr<EngineConnection>>> connections_;
   std::size_t connection_count_ = 0;
--- a/src/workload_manager.cpp
+++ b/src/workload_manager.cpp
@@ -97,6 +97,7 @@
   double heard = -1, share = 0, share_at = 0;  // notes: the last; share done, and when that was told
   bool out = true, cut = false, told = false, roomy = false;  // told to peers; its engine had cores to spare
   bool may_have_run = true, charged = true;  // until proved otherwise; counted in the class's running cost
+  bool of_earlier_process = false;  // its engine restarted since: it says nothing of the one that runs now
 };
 
 struct Request {
@@ -493,7 +494,7 @@
     for (const auto& [id, r] : requests_) {
       if (r.held && hopeless(r)) late.push_back(id);
       for (const Attempt& a : r.attempts) {
-        if (!a.out || a.cut) continue;
+        if (!a.out || a.cut || a.of_earlier_process) continue;
         const double due = overdue_times * expected_run(r, a) + cut_slack;
         if (now_ - a.sent > due) engines_.at(a.engine).overdue += now_ - a.sent > 2 * due ? 2 : 1;
       }
@@ -542,7 +543,8 @@
       cuts_.push_back(now_);
       a.cut = true;
       act(Cancel{r.id, static_cast<std::uint32_t>(r.attempts.size() - 1)});
-      weigh(engines_.at(a.engine), true, 0);  // a bad plan or a silent engine: tells little by itself
+      if (!a.of_earlier_process)
+        weigh(engines_.at(a.engine), true, 0);  // a bad plan or a silent engine: tells little by itself
     }
   }
 
@@ -820,7 +822,8 @@
     for (const EngineEntry& entry : event.engines) {
       const auto [place, fresh] = engines_.try_emplace(entry.engine);
       Engine& e = place->second;
-      const bool restarted = !fresh && entry.started > e.entry.started;
+      const bool returned = e.entry.state == EngineState::gone && entry.state != EngineState::gone;
+      const bool restarted = !fresh && (returned || entry.started > e.entry.started);
       e.entry = entry;
       e.listed = entry.state != EngineState::gone;
       const bool known = entry.kind < s_.kinds.size();
@@ -832,12 +835,25 @@
       }
       if (restarted) {
         e.failures = 0;
+        e.full_until = now_;
         if (e.health == Health::shunned) e.shunned_until = now_;
+        disown_attempts(entry.engine);
       }
     }
+    if (event.scope != FleetScope::delta)
+      for (auto& [id, e] : engines_)
+        if (!e.listed) e.entry.state = EngineState::gone;
     set_parts();
   }
 
+  // What is out at an engine that restarted is its earlier process's: how it ends is no news of the present
+  // one.
+  void disown_attempts(EngineId engine) {
+    for (auto& [id, r] : requests_)
+      for (Attempt& a : r.attempts)
+        if (a.out && a.engine == engine) a.of_earlier_process = true;
+  }
+
   void on(const RequestArrived& event) {
     if (event.class_index >= classes_.size() || requests_.contains(event.request))
       return act(Fail{event.request});
@@ -885,12 +901,9 @@
     Engine& e = engines_.at(a.engine);
     end_attempt(r, a);
     const Result how = event.result;
-    read_report(e, event.report);
     a.may_have_run = how != Result::full && how != Result::connect_failed && how != Result::moot;
-    if (how == Result::served) learn(r, a, event, e);
-    if (how == Result::engine_error) judge_error(r, a, e);
-    if (how == Result::connect_failed || how == Result::reset) judge_failed(e, "not reached");
-    if (how == Result::full) e.full_until = now_ + full_rest;
+    if (how == Result::served) learn(r, a, event);
+    if (!a.of_earlier_process) judge(r, a, e, event);
     if (r.key != 0 && (how == Result::timed_out || how == Result::reset || how == Result::cancelled))
       rests_[r.key] = now_ + seconds(s_.order_settle) + (s_.order_settle.count() > 0 ? end_margin_ : 0.0);
     if (event.request_over || how == Result::served) {
@@ -902,7 +915,20 @@
     }
   }
 
-  void learn(const Request& r, const Attempt& a, const AttemptEnded& event, Engine& e) {
+  // What the end of an attempt says of its engine.
+  void judge(const Request& r, Attempt& a, Engine& e, const AttemptEnded& event) {
+    read_report(e, event.report);
+    switch (event.result) {
+      case Result::served: return judge_served(e);
+      case Result::engine_error: return judge_error(r, a, e);
+      case Result::connect_failed:
+      case Result::reset: return judge_failed(e, "not reached");
+      case Result::full: e.full_until = now_ + full_rest; return;
+      default: return;
+    }
+  }
+
+  void learn(const Request& r, const Attempt& a, const AttemptEnded& event) {
     ClassState& c = classes_[r.cls];
     const ClassSettings& k = s_.classes[r.cls];
     const double ran = std::max(1e-4, seconds(event.took));
@@ -928,7 +954,6 @@
     const double pace = std::min(ran / alone, ratio_cap * c.pace);
     c.pace_samples += 1;
     c.pace += std::max(pace_rate, 1 / (c.pace_samples + 1)) * (pace - c.pace);
-    judge_served(e);
   }
 
   void on(const ClientLeft& event) {
@@ -1071,7 +1096,7 @@
 
 void walk(StateVisitor& v, Attempt& a) {
   named(v, Name::engine, a.engine);
-  wholes(v, a.lane, a.out, a.cut, a.told, a.roomy, a.may_have_run, a.charged);
+  wholes(v, a.lane, a.out, a.cut, a.told, a.roomy, a.may_have_run, a.charged, a.of_earlier_process);
   numbers(v, a.base, a.memory, a.share, a.doubt);
   v.since(a.sent), v.since(a.heard), v.since(a.share_at);
 }
--- a/tests/platform/protocol_test.cpp
+++ b/tests/platform/protocol_test.cpp
@@ -354,10 +354,12 @@
   ASSERT_TRUE(std::holds_alternative<platform::PagedAnswer::Done>(end));
   EXPECT_EQ(std::get<platform::PagedAnswer::Done>(end).ending, core::Ending::engine_error);
   platform::PagedAnswer large;
-  large.take(answer(Reply::ok, 64, 0, std::string(5997, 'x') + "\t\t\n"));
+  std::string full_page(5997, 'x');
+  full_page += "\t\t\n";
+  large.take(answer(Reply::ok, 64, 0, full_page));
   std::size_t pages = 1;
-  while (!std::holds_alternative<Broken>(large.take(
-      answer(Reply::page, 1, static_cast<std::uint32_t>(pages), std::string(5997, 'x') + "\t\t\n"))))
+  while (!std::holds_alternative<Broken>(
+      large.take(answer(Reply::page, 1, static_cast<std::uint32_t>(pages), full_page))))
     ASSERT_LT(++pages, 10U);
 }
 
@@ -427,11 +429,35 @@
   EXPECT_TRUE(broken(state));
 }
 
+TEST(Fleet, TellsWhichProcessesHaveEnded) {
+  platform::Fleet fleet;
+  const auto ended_by = [&](const command_channel::Event& one) {
+    core::FleetTold told;
+    std::vector<EngineId> ended;
+    fleet.take(one, told, ended);
+    fleet.forget_gone();
+    return ended;
+  };
+  const std::vector<EngineId> none, second{2}, all{1, 2, 3};
+  EXPECT_EQ(ended_by(event(1, true, {1, 2, 3})), none);
+  EXPECT_EQ(ended_by(event(2, false, {2}, EngineState::draining)), none);
+  EXPECT_EQ(ended_by(event(3, false, {2}, EngineState::gone)), second);
+  EXPECT_EQ(ended_by(event(4, false, {2})), none) << "its process before ended then";
+  auto anew = event(5, false, {2});
+  anew.records[0].entry.started = std::chrono::seconds(7);
+  EXPECT_EQ(ended_by(anew), second) << "started anew under its id";
+  anew.number = 6;
+  anew.records[0].port ^= 1;
+  EXPECT_EQ(ended_by(anew), second) << "at another address";
+  EXPECT_EQ(ended_by(event(7, true, {4})), all) << "a whole list does not name them";
+}
+
 TEST(Fleet, TakesEachEventOnceAndAsksForWhatIsMissing) {
   platform::Fleet fleet;
   const auto take = [&](const command_channel::Event& one) {
     core::FleetTold told;
-    const auto taken = fleet.take(one, told);
+    std::vector<EngineId> ended;
+    const auto taken = fleet.take(one, told, ended);
     return std::pair(taken, told.engines.size());
   };
   using Taken = platform::Fleet::Taken;
