--- a/tests/incidents/counting_engine.hpp
+++ b/tests/incidents/counting_engine.hpp
@@ -20,6 +20,9 @@
     std::uint64_t number = 0;
     std::set<std::uint64_t> out;
   };
+  /// `receive_buffer`: of each connection; zero: the system's choice.
+  explicit CountingEngine(int receive_buffer = 0) : listener_(64, receive_buffer) {}
+
   using OnFrame = std::function<void(Connection&, const engine_frames::Frame&)>;
 
   [[nodiscard]] std::uint16_t port() const { return listener_.port(); }
@@ -33,6 +36,12 @@
     return static_cast<std::size_t>(std::count_if(connections_.begin(), connections_.end(),
                                                   [&](const auto& one) { return one.out.contains(id); }));
   }
+  /// Whether bytes wait on a connection, which step() would read.
+  [[nodiscard]] bool has_input() const {
+    return std::any_of(connections_.begin(), connections_.end(),
+                       [](const auto& one) { return one.side.has_input(); });
+  }
+  [[nodiscard]] std::uint64_t last_connection() const { return last_connection_; }
   [[nodiscard]] std::size_t connections() const { return connections_.size(); }
   /// Requests that came under an id that was used on the same connection before.
   [[nodiscard]] std::size_t ids_used_again() const { return ids_used_again_; }
--- /dev/null
+++ b/tests/incidents/incident_run.hpp
@@ -0,0 +1,99 @@
+// A manager as a process of its own, engines that do what a test tells them, and clients: what the tests of
+// incidents share. One thread: engines are served while a client's answer is waited for.
+#pragma once
+
+#include <chrono>
+#include <deque>
+
+#include "counting_engine.hpp"
+#include "tests/platform/manager_process.hpp"
+
+namespace paddlestand::platform::test {
+
+class IncidentRun : public ::testing::Test {
+ protected:
+  using Connection = CountingEngine::Connection;
+  using Clock = std::chrono::steady_clock;
+  using OnFrame = std::function<void(CountingEngine&, Connection&, const engine_frames::Frame&)>;
+  using What = std::function<void(CountingEngine&, Connection&)>;
+
+  explicit IncidentRun(std::size_t engines, int receive_buffer = 0) {
+    for (std::size_t i = 0; i < engines; ++i) engines_.emplace_back(receive_buffer);
+  }
+
+  void SetUp() override {
+    const std::uint16_t port = free_port();
+    std::vector<std::uint16_t> ports;
+    for (const CountingEngine& one : engines_) ports.push_back(one.port());
+    manager_ = std::make_unique<ManagerProcess>(process_config(ports, port, channel_.port()), port);
+    ASSERT_TRUE(manager_->ready());
+    client_ = std::make_unique<RawClient>(port);
+    serve_some();
+  }
+
+  // So that the engines have a good record: one error alone would eject the only one.
+  void serve_some() {
+    constexpr int requests = 20;
+    for (int i = 0; i < requests; ++i) {
+      const int number = next_number();
+      client_->ask(number, 0x6600000000000000U + static_cast<unsigned>(number));
+      ASSERT_EQ(outcome_while(*client_, serve_all), "served:a\tb\tc\n");
+    }
+  }
+  static void serve_all(CountingEngine& engine, Connection& on, const engine_frames::Frame& frame) {
+    if (frame.code == static_cast<std::uint8_t>(engine_frames::Command::request)) engine.serve(on, frame.id);
+  }
+
+  // Serves the engines until the client has an answer.
+  std::string outcome_while(RawClient& client, const OnFrame& on_frame) {
+    std::string outcome = "nothing";
+    run_until([&] { return (outcome = client.outcome(1)) != "nothing"; }, on_frame);
+    return outcome;
+  }
+  bool run_until(const std::function<bool()>& done, const OnFrame& on_frame) {
+    const auto end = Clock::now() + std::chrono::milliseconds(patience_ms);
+    while (!done()) {
+      if (Clock::now() > end) return false;
+      for (CountingEngine& one : engines_)
+        one.step([&](Connection& on, const auto& frame) { on_frame(one, on, frame); });
+      run_due();
+    }
+    return true;
+  }
+  // On the same connection, if it is still open then.
+  void after(Duration time, CountingEngine& engine, const Connection& on, What what) {
+    due_.emplace(Clock::now() + std::chrono::duration_cast<Clock::duration>(time),
+                 [&engine, number = on.number, what = std::move(what)] {
+                   if (Connection* then = engine.find(number)) what(engine, *then);
+                 });
+  }
+
+  CountingEngine& engine(std::size_t i = 0) { return engines_[i]; }
+  [[nodiscard]] std::size_t most_out() const {
+    std::size_t most = 0;
+    for (const CountingEngine& one : engines_) most = std::max(most, one.most_out());
+    return most;
+  }
+  ManagerProcess& manager() { return *manager_; }
+  RawClient& client() { return *client_; }
+  Listener& channel() { return channel_; }
+  int next_number() { return ++last_number_; }
+
+ private:
+  void run_due() {
+    while (!due_.empty() && due_.begin()->first <= Clock::now()) {
+      const auto what = std::move(due_.begin()->second);
+      due_.erase(due_.begin());
+      what();
+    }
+  }
+
+  std::deque<CountingEngine> engines_;
+  Listener channel_;
+  std::unique_ptr<ManagerProcess> manager_;
+  std::unique_ptr<RawClient> client_;
+  std::multimap<Clock::time_point, std::function<void()>> due_;
+  int last_number_ = 0;
+};
+
+}  // namespace paddlestand::platform::test
--- a/tests/incidents/late_frames_test.cpp
+++ b/tests/incidents/late_frames_test.cpp
@@ -14,17 +14,13 @@
 //
 // The evidence: the engine's own account on one connection, two requests under one id without an end written
 // between them, within 1 ms of the late frame; with the late frame held back there was one further attempt.
-#include <chrono>
-
-#include "counting_engine.hpp"
-#include "tests/platform/manager_process.hpp"
+#include "incident_run.hpp"
 
 namespace paddlestand::platform::test {
 namespace {
 
 using engine_frames::Reply;
 using Connection = CountingEngine::Connection;
-using std::chrono::steady_clock;
 
 constexpr std::uint64_t asked_id = 0x7700000000000001;
 constexpr auto second_attempt_runs = 250ms;  // for the rest of the first one's frames to do their harm
@@ -88,94 +84,42 @@
   };
 }
 
-class LateFrames : public ::testing::TestWithParam<std::size_t> {
+class LateFrames : public IncidentRun, public ::testing::WithParamInterface<std::size_t> {
  protected:
-  LateFrames() : way_(ways()[GetParam()]) {}
-
-  void SetUp() override {
-    const std::uint16_t port = free_port();
-    manager_ =
-        std::make_unique<ManagerProcess>(process_config({engine_.port()}, port, channel_.port()), port);
-    ASSERT_TRUE(manager_->ready());
-    client_ = std::make_unique<RawClient>(port);
-    serve_some();
-  }
-
-  // One error alone would eject the only engine: it has a good record first.
-  void serve_some() {
-    constexpr int requests = 20;
-    for (int i = 1; i <= requests; ++i) {
-      client_->ask(i, 0x6600000000000000U + static_cast<unsigned>(i));
-      const std::string outcome = outcome_while([&](Connection& on, const engine_frames::Frame& frame) {
-        if (frame.code == 1) engine_.serve(on, frame.id);
-      });
-      ASSERT_EQ(outcome, "served:a\tb\tc\n");
-    }
-    last_number_ = requests;
-  }
-
-  std::string outcome_while(const CountingEngine::OnFrame& on_frame) {
-    for (int i = 0; i < patience_ms; ++i) {
-      engine_.step(on_frame);
-      run_due();
-      const std::string outcome = client_->outcome(1);
-      if (outcome != "nothing") return outcome;
-    }
-    return "nothing";
-  }
-  // On the same connection, if it is still open then.
-  void after(Duration time, const Connection& on, std::function<void(Connection&)> what) {
-    due_.emplace(steady_clock::now() + std::chrono::duration_cast<steady_clock::duration>(time),
-                 [this, number = on.number, what = std::move(what)] {
-                   if (Connection* then = engine_.find(number)) what(*then);
-                 });
-  }
-  void run_due() {
-    while (!due_.empty() && due_.begin()->first <= steady_clock::now()) {
-      const auto what = std::move(due_.begin()->second);
-      due_.erase(due_.begin());
-      what();
-    }
-  }
+  LateFrames() : IncidentRun(1), way_(ways()[GetParam()]) {}
 
   void on_request(Connection& on) {
-    if (engine_.begun(asked_id) == 1) {
-      way_.at_once(engine_, on);
-      if (way_.later) after(30ms, on, [this](Connection& then) { way_.later(engine_, then); });
+    if (engine().begun(asked_id) == 1) {
+      way_.at_once(engine(), on);
+      if (way_.later) after(30ms, engine(), on, way_.later);
       return;
     }
-    after(second_attempt_runs, on, [this](Connection& then) {
-      if (then.out.contains(asked_id)) engine_.serve(then, asked_id, second_row);
+    after(second_attempt_runs, engine(), on, [](CountingEngine& engine, Connection& then) {
+      if (then.out.contains(asked_id)) engine.serve(then, asked_id, second_row);
     });
   }
 
   Way way_;
-  CountingEngine engine_;
-  Listener channel_;
-  std::unique_ptr<ManagerProcess> manager_;
-  std::unique_ptr<RawClient> client_;
-  std::multimap<steady_clock::time_point, std::function<void()>> due_;
-  int last_number_ = 0;
 };
 
 TEST_P(LateFrames, NeverEndTheNextAttempt) {
   const std::string more = way_.class_name == std::string("load")
                                ? R"(,"entity":"00000000000000aa","nonce":"5c0f6e1a2b3d4c59a8b7c6d5e4f30211")"
                                : "";
-  ASSERT_TRUE(
-      client_->wire().write(RawClient::line(last_number_ + 1, asked_id, way_.class_name, more, 5000)));
-  const std::string outcome = outcome_while([&](Connection& on, const engine_frames::Frame& frame) {
-    if (frame.id != asked_id) return;
-    if (frame.code == 1) on_request(on);
-    if (frame.code == 6 && way_.on_page) way_.on_page(engine_, on, frame);
-  });
-  EXPECT_EQ(engine_.most_out(), 1U) << "attempts out at once\n" << manager_->log();
-  EXPECT_EQ(engine_.ids_used_again(), 0U) << "an id came twice on one connection";
+  ASSERT_TRUE(client().wire().write(RawClient::line(next_number(), asked_id, way_.class_name, more, 5000)));
+  const std::string outcome =
+      outcome_while(client(), [&](CountingEngine& engine, Connection& on, const engine_frames::Frame& frame) {
+        if (frame.id != asked_id) return;
+        if (frame.code == 1) on_request(on);
+        if (frame.code == 6 && way_.on_page) way_.on_page(engine, on, frame);
+      });
+  EXPECT_EQ(engine().most_out(), 1U) << "attempts out at once\n" << manager().log();
+  EXPECT_EQ(engine().ids_used_again(), 0U) << "an id came twice on one connection";
   if (way_.runs_again) {
-    EXPECT_EQ(engine_.begun(asked_id), 2U);
+    EXPECT_EQ(engine().begun(asked_id), 2U);
     EXPECT_EQ(outcome, "served:" + second_row);
   }
-  EXPECT_EQ(manager_->logged("violation"), 0U) << manager_->log();
+  EXPECT_EQ(manager().logged("violation"), 0U) << manager().log();
 }
 
 INSTANTIATE_TEST_SUITE_P(Ways, LateFrames, ::testing::Range(std::size_t{0}, ways().size()),
--- a/tests/platform/manager_process.hpp
+++ b/tests/platform/manager_process.hpp
@@ -85,6 +85,9 @@
 
   [[nodiscard]] bool ready() const { return ready_; }
   [[nodiscard]] std::uint16_t port() const { return port_; }
+  /// It takes no step until go_on().
+  void stop() { ::kill(process_.id(), SIGSTOP); }
+  void go_on() { ::kill(process_.id(), SIGCONT); }
   [[nodiscard]] std::string log() const {
     std::ifstream in(folder_ / "log");
     return {std::istreambuf_iterator<char>(in), {}};
--- a/tests/platform/peers.hpp
+++ b/tests/platform/peers.hpp
@@ -74,6 +74,10 @@
     if (got <= 0) return std::nullopt;
     return std::string(part, static_cast<std::size_t>(got));
   }
+  [[nodiscard]] bool has_input() const {
+    pollfd one{socket_, POLLIN, 0};
+    return ::poll(&one, 1, 0) > 0;
+  }
   bool ends() const {
     for (;;) {
       const auto more = read();
@@ -97,7 +101,10 @@
 
 class Listener {
  public:
-  explicit Listener(int backlog = 64) : socket_(::socket(AF_INET, SOCK_STREAM, 0)) {
+  // `receive_buffer`: bytes of each accepted connection; zero: the system's choice.
+  explicit Listener(int backlog = 64, int receive_buffer = 0) : socket_(::socket(AF_INET, SOCK_STREAM, 0)) {
+    if (receive_buffer > 0)
+      ::setsockopt(socket_, SOL_SOCKET, SO_RCVBUF, &receive_buffer, sizeof(receive_buffer));
     sockaddr_in at{};
     at.sin_family = AF_INET;
     at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
@@ -190,6 +197,7 @@
     wire_.write(bytes);
   }
   Wire& wire() { return wire_; }
+  [[nodiscard]] bool has_input() const { return wire_.has_input(); }
 
   std::set<std::uint64_t> ids;  // of the requests that came, where a test keeps them
 
