Fault runs: a client's unwritten requests belong to its connection

Cause: the map went by local port and number, and two connections to different managers may have one local port. The requests are kept with their connection.

--- a/tests/faults/clients.cpp
+++ b/tests/faults/clients.cpp
@@ -41,6 +41,7 @@
   std::uint32_t port;
   std::string in;
   std::map<std::int64_t, Open> open;  // by the client's number
+  std::map<std::int64_t, RunEvent> unwritten;  // of these, those that were not written whole yet
   std::int64_t last_id = 0;
   std::int64_t used = monotonic_now();
   std::optional<std::int64_t> leaves_at;
@@ -163,7 +164,7 @@
       open.began = monotonic_now();
       RunEvent asked{EventKind::asked, 0,         open.trace, seat.manager, patience_ms,
                      open.began,       seat.port, first,      class_name_};
-      pending_[{seat.port, id}] = asked;
+      seat.unwritten[id] = asked;
       if (options_.misbehaves && share() < chance_cancel) open.cancels_at = open.began + between_ms(0, 300);
       open.gives_up_at = open.began + patience_ms * millisecond + answer_slack;
       seat.open.emplace(id, open);
@@ -187,7 +188,7 @@
 
   // From here on the request is the manager's: its time counts from the last byte.
   void written(Seat& seat, std::int64_t id) {
-    RunEvent asked = pending_.extract({seat.port, id}).mapped();
+    RunEvent asked = seat.unwritten.extract(id).mapped();
     asked.at = monotonic_now();
     log_.write(asked);
     Open& open = seat.open.at(id);
@@ -270,7 +271,7 @@
     seat->connection.close();
     const std::int64_t now = monotonic_now();
     for (const auto& [id, open] : seat->open) {
-      if (pending_.erase({seat->port, id}) > 0) continue;  // it was never written whole
+      if (seat->unwritten.contains(id)) continue;  // it was never written whole
       if (open.cancelled) continue;
       log_.write({kind, now, open.trace, seat->manager, 0, open.asked, seat->port, false, how});
     }
@@ -324,7 +325,6 @@
   std::vector<bool> shunned_;
   std::int64_t next_ask_, next_crowd_ = 0;
   std::list<Seat> seats_;
-  std::map<std::pair<std::uint32_t, std::int64_t>, RunEvent> pending_;  // asked, not yet written whole
   std::string commands_, class_name_;
   bool finishing_ = false;
 };
