A timed-out attempt is out until its cancel is heard; terms never strike a link's next query

A time-out ended the attempt for the module at once, with its cancel still on the way: it goes the way of every cancel now, until the engine says so, the link ends or the grace is over (on the platform at once, as before). A change of terms names a link's process: until it is answered no further query follows on that link.

Also a test of connections that are shared since descriptors are short; it fails on the program before the repair.

--- a/src/core/conductor.cpp
+++ b/src/core/conductor.cpp
@@ -320,11 +320,9 @@
     }
     case AttemptState::running:
     case AttemptState::answering: {
-      const LinkId id = *attempt.link;
-      act(CancelOnEngine{id});
-      end(query, index,
-          seeded(Defect::time_out_told_as_never_ran) ? Result::connect_failed : Result::timed_out);
-      close(id);
+      // As after any cancel, it is out until its engine has heard of that, or the grace for it is over.
+      attempt.timed_out = true;
+      cancel(query, index);
       break;
     }
     case AttemptState::cancelling:  // the grace of the cancel decides
@@ -447,7 +445,9 @@
         // Want of descriptors is this manager's trouble and speaks against no engine.
         result = event.why == LinkLoss::local ? Result::moot : Result::connect_failed;
         break;
-      case LinkState::cancelling: result = Result::cancelled; break;
+      case LinkState::cancelling:
+        result = queries_.at(*link->query).attempts[link->attempt].cancel_result();
+        break;
       default:
         // Nothing was heard of its end: it may still run, and its key has to rest.
         if (event.why == LinkLoss::broken_protocol && seeded(Defect::broken_link_told_as_ended))
@@ -616,7 +616,7 @@
     case Ending::engine_error: result = Result::engine_error; break;
     case Ending::full: result = Result::full; break;
     case Ending::expired: result = Result::moot; break;
-    case Ending::cancelled: result = Result::cancelled; break;
+    case Ending::cancelled: result = attempt.cancel_result(); break;
   }
   if (result == Result::served && !query.over()) {
     if (!seeded(Defect::rest_of_answer_lost)) deliver(event.link, *link, query);
@@ -846,7 +846,7 @@
     w.until(q.arrived + q.patience);  // when it came, and when attempts began, is for accounts only
     w.list(q.attempts, [&](AttemptRecord& a) {
       w.name(Name::engine, a.engine);
-      w.wholes(a.state.state(), a.link.has_value(), a.result.has_value(), a.spoiled);
+      w.wholes(a.state.state(), a.link.has_value(), a.result.has_value(), a.spoiled, a.timed_out);
       if (a.result) w.wholes(*a.result);
       if (a.link) w.name(Name::link, *a.link);
     });
--- a/src/core/ledger.hpp
+++ b/src/core/ledger.hpp
@@ -5,6 +5,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "seeded.hpp"
 #include "states.hpp"
 #include "timer_queue.hpp"
 #include "types.hpp"
@@ -23,8 +24,14 @@
   std::optional<Result> result;
   Duration took{};
   bool spoiled = false;  // part of its answer was thrown away: its end can't be served any more
+  bool timed_out = false;  // it is cancelled for that reason
 
   [[nodiscard]] bool out() const { return !state.is(AttemptState::over); }
+  // How it ended where its cancel was what ended it.
+  [[nodiscard]] Result cancel_result() const {
+    if (!timed_out) return Result::cancelled;
+    return seeded(Defect::time_out_told_as_never_ran) ? Result::connect_failed : Result::timed_out;
+  }
   // What a result means for the effect, in the words of the module's interface.
   [[nodiscard]] bool never_ran() const {
     return result &&
--- a/src/service/link.cpp
+++ b/src/service/link.cpp
@@ -115,8 +115,8 @@
       manager_.tell(core::AnswerPart{id_, fresh});
     } else if (const auto* end = std::get_if<pg::LinkAnswerEnd>(&event)) {
       told_ = 0;
-      manager_.tell_end({id_, end->ending, fresh, end->reusable, end->work, end->memory_mb, end->report},
-                        *end);
+      const bool reusable = end->reusable && terms_changes_ == 0;
+      manager_.tell_end({id_, end->ending, fresh, reusable, end->work, end->memory_mb, end->report}, *end);
     } else if (const auto* note = std::get_if<pg::LinkNote>(&event)) {
       manager_.tell(core::EngineNote{id_, note->kind, note->level});
     }
--- a/src/service/link.hpp
+++ b/src/service/link.hpp
@@ -25,6 +25,10 @@
 
   [[nodiscard]] pg::EngineLink& protocol() { return protocol_; }
   [[nodiscard]] tcp::endpoint at() const { return at_; }
+  // A change of terms names this link's process, not its query: until it is known to have been made or
+  // dropped, it could strike the next query, so that none follows on this link.
+  void terms_change_begins() { ++terms_changes_; }
+  void terms_change_ended() { --terms_changes_; }
   // What is kept of an answer, told to the core so far.
   void taken() { told_ = 0; }
 
@@ -46,6 +50,7 @@
   pg::EngineLink protocol_;
   std::string writing_;
   std::size_t written_ = 0;
+  std::size_t terms_changes_ = 0;  // on their way to the engine
   std::size_t told_ = 0;  // bytes of the kept answer that the core knows of
   bool closed_ = false, paused_ = false, writes_ = false;
   TimePoint opened_;
--- a/src/service/manager.cpp
+++ b/src/service/manager.cpp
@@ -133,7 +133,8 @@
   std::string statement = "SELECT paddlestand.set_terms(" + std::to_string(link->protocol().key().process) +
                           ", " + std::to_string(effect.priority) + ", " + std::to_string(effect.memory_mb) +
                           ")";
-  spawn(io_, change_terms(link->at(), std::move(statement)));
+  link->terms_change_begins();
+  spawn(io_, change_terms(link, std::move(statement)));
 }
 
 void Manager::carry_out(const core::CloseLink& effect) {
@@ -284,11 +285,11 @@
   co_await (cancel() || limit.async_wait(asio::redirect_error(asio::use_awaitable, ignored)));
 }
 
-asio::awaitable<void> Manager::change_terms(tcp::endpoint at, std::string statement) {
+asio::awaitable<void> Manager::change_terms(std::shared_ptr<Link> of, std::string statement) {
   const auto change = [&]() -> asio::awaitable<void> {
     error_code error;
     tcp::socket socket(io_);
-    co_await socket.async_connect(at, asio::redirect_error(asio::use_awaitable, error));
+    co_await socket.async_connect(of->at(), asio::redirect_error(asio::use_awaitable, error));
     pg::EngineLink link;
     std::string out = link.start(engine_login());
     std::vector<pg::LinkEvent> events;
@@ -303,6 +304,7 @@
       events.clear();
       link.feed({buffer.data(), got}, events, out);
       for (const pg::LinkEvent& event : events) {
+        if (std::holds_alternative<pg::LinkAnswerEnd>(event)) of->terms_change_ended();
         if (!std::holds_alternative<pg::LinkReady>(event)) co_return;
         pg::EngineQuery query;
         pg::put_query(query.bytes, statement);
--- a/src/service/manager.hpp
+++ b/src/service/manager.hpp
@@ -86,7 +86,7 @@
   // For a client that gets no session: says why, and closes.
   boost::asio::awaitable<void> turn_away(StreamSocket socket, pg::Fields fields);
   boost::asio::awaitable<void> cancel_on(tcp::endpoint at, pg::CancelKey key);
-  boost::asio::awaitable<void> change_terms(tcp::endpoint at, std::string statement);
+  boost::asio::awaitable<void> change_terms(std::shared_ptr<Link> of, std::string statement);
   void use_engines(const std::vector<config::ListedEngine>& engines);
   std::shared_ptr<Link> find_link(core::LinkId id) const;
   std::shared_ptr<Session> find_session(core::SessionId id) const;
--- a/tests/incidents/earlier_ends_test.cpp
+++ b/tests/incidents/earlier_ends_test.cpp
@@ -14,7 +14,7 @@
 
 class EngineThatDoesNotRead : public IncidentRun {
  protected:
-  EngineThatDoesNotRead() : IncidentRun(2, tiny_buffer) {}
+  EngineThatDoesNotRead() : IncidentRun(2, {.receive_buffer = tiny_buffer}) {}
 
   static std::string large_request(int number) {
     const std::string statement = "SELECT '" + std::string(60'000, 'x') + "' FROM a_1.b";
@@ -140,5 +140,38 @@
   EXPECT_EQ(said_behind, 0U);
 }
 
+// ---- Connections that are shared, since descriptors are short ----
+
+class FewDescriptors : public IncidentRun {
+ protected:
+  FewDescriptors() : IncidentRun(1, {.most_descriptors = 12}) {}  // three connections to the engine
+};
+
+// Each request's first attempt is over already when it comes, and the engine says so twice, while others run
+// on its connection. Each has one attempt out at a time, and what its second one is answered.
+TEST_F(FewDescriptors, CopiesOnSharedConnectionsEndNoOtherAttempt) {
+  constexpr int requests = 6;
+  const int first_number = next_number();
+  for (int i = 0; i < requests; ++i)
+    client().ask(i == 0 ? first_number : next_number(), asked_id + static_cast<unsigned>(i));
+  for (int answers = 0; answers < requests; ++answers) {
+    const std::string outcome = outcome_while(client(), [&](auto& engine, auto& on, const auto& frame) {
+      if (frame.code != 1) return;
+      const std::uint64_t id = frame.id;
+      if (engine.begun(id) > 1)
+        return after(100ms, engine, on, [id](auto& engine, auto& then) { engine.serve(then, id); });
+      after(20ms, engine, on, [id](auto& engine, auto& then) {
+        engine.answer(then, engine_frames::Reply::over, id);
+        then.side.answer(static_cast<std::uint8_t>(engine_frames::Reply::over), id);
+      });
+    });
+    EXPECT_EQ(outcome, "served:a\tb\tc\n") << manager().log();
+  }
+  EXPECT_EQ(most_out(), 1U);
+  EXPECT_EQ(engine().ids_used_again(), 0U);
+  EXPECT_LE(engine().connections(), 3U);
+  EXPECT_EQ(manager().logged("violation"), 0U);
+}
+
 }  // namespace
 }  // namespace paddlestand::platform::test
--- a/tests/incidents/incident_run.hpp
+++ b/tests/incidents/incident_run.hpp
@@ -17,15 +17,22 @@
   using OnFrame = std::function<void(CountingEngine&, Connection&, const engine_frames::Frame&)>;
   using What = std::function<void(CountingEngine&, Connection&)>;
 
-  explicit IncidentRun(std::size_t engines, int receive_buffer = 0) {
-    for (std::size_t i = 0; i < engines; ++i) engines_.emplace_back(receive_buffer);
+  struct Sizes {
+    int receive_buffer = 0;  // of the engines' connections; zero: the system's choice
+    std::uint32_t most_descriptors = 256;  // that the manager is told
+  };
+
+  explicit IncidentRun(std::size_t engines) : IncidentRun(engines, Sizes{}) {}
+  IncidentRun(std::size_t engines, Sizes sizes) : sizes_(sizes) {
+    for (std::size_t i = 0; i < engines; ++i) engines_.emplace_back(sizes.receive_buffer);
   }
 
   void SetUp() override {
     const std::uint16_t port = free_port();
     std::vector<std::uint16_t> ports;
     for (const CountingEngine& one : engines_) ports.push_back(one.port());
-    manager_ = std::make_unique<ManagerProcess>(process_config(ports, port, channel_.port()), port);
+    manager_ = std::make_unique<ManagerProcess>(
+        process_config(ports, port, channel_.port(), sizes_.most_descriptors), port);
     ASSERT_TRUE(manager_->ready());
     client_ = std::make_unique<RawClient>(port);
     serve_some();
@@ -88,6 +95,7 @@
     }
   }
 
+  Sizes sizes_;
   std::deque<CountingEngine> engines_;
   Listener channel_;
   std::unique_ptr<ManagerProcess> manager_;
