--- a/tests/core/conductor_test.cpp
+++ b/tests/core/conductor_test.cpp
@@ -353,6 +353,42 @@
   EXPECT_TRUE(desk.did<CloseLink>(probe));
 }
 
+// Its answer would be credited to the process that runs there from now on.
+TEST(Conductor, AProbeThatIsUnderWayEndsWhenItsEngineRestarts) {
+  CoreDesk desk;
+  desk.fleet({entry(1)});
+  for (QueryId id = 1; id <= 40 && desk.all<SendProbe>().empty(); ++id) {
+    desk.ask(id);
+    desk.bring_up();
+    if (desk.was_sent(id)) desk.finish(desk.link_of(id), Ending::engine_error);
+    desk.advance(400ms);
+    desk.bring_up();
+  }
+  ASSERT_FALSE(desk.all<SendProbe>().empty());
+  const LinkId probe = desk.all<SendProbe>().back().link;
+  desk.handle(QuerySent{probe});
+  ASSERT_FALSE(desk.did<CloseLink>(probe));
+  desk.fleet({entry(1, EngineState::ready, 1h)});
+  EXPECT_TRUE(desk.did<CloseLink>(probe));
+}
+
+// An attempt that timed out is out until its engine has heard of the cancel: the next one waits for that.
+TEST(Conductor, AfterATimeOutNothingIsSentBeforeTheCancelIsHeard) {
+  CoreSettings settings = small_core();
+  settings.module.may_cancel = false;  // nothing but the time-out ends it
+  CoreDesk desk(settings);
+  desk.fleet({entry(1), entry(2)});
+  desk.ask(1);
+  const LinkId first = desk.run(1);
+  for (int i = 0; i < 100 && desk.all<CancelOnEngine>().empty(); ++i) desk.advance(50ms);
+  ASSERT_FALSE(desk.all<CancelOnEngine>().empty());
+  desk.bring_up();
+  EXPECT_EQ(desk.all<SendQuery>().size(), 1U);
+  EXPECT_FALSE(desk.did<CloseLink>(first));
+  desk.handle(LinkLost{first, LinkLoss::closed});
+  EXPECT_TRUE(desk.did<CloseLink>(first));
+}
+
 TEST(Conductor, EventsOfClosedLinksArePassedOverOthersOutOfPlaceAreNot) {
   CoreDesk desk;
   desk.fleet({entry(1)});
