Platform: connections to engines and the side that faces engines in files of their own

EngineConnections chooses, opens and closes connections within the bound and keeps what engines may have on them; platform_engines.cpp translates links of the core into streams. No change of behaviour.

--- a/src/platform/platform.cpp
+++ b/src/platform/platform.cpp
@@ -7,6 +7,8 @@
 #include <cmath>
 #include <cstdio>
 
+#include "endpoint.hpp"
+#include "hex.hpp"
 #include "service/signals.hpp"
 #include "service/spawn.hpp"
 
@@ -29,12 +31,10 @@
 constexpr auto kill_counts_most = 3s;
 constexpr auto kill_margin = 300ms;  // before the kill, for last answers to leave
 constexpr auto end_margin = 100ms;  // before the kill, for the process to end by itself
-constexpr Duration slack_of_deadline = 150ms;  // that an engine may be told too much
 constexpr auto last_look = 250ms;  // before the kill: connections that still rest are ended more often
 constexpr auto last_look_period = 20ms;
 constexpr auto reload_rest = 100ms;  // before a file that can't be read is tried again
 constexpr auto tell_away_each = 1s;
-constexpr std::uint64_t probe_ids = std::uint64_t{0xf1} << 56U;  // apart from most requests' ids
 
 observe::LogConfig log_settings(bool trace) {
   observe::LogConfig log;
@@ -42,16 +42,6 @@
   return log;
 }
 
-boost::asio::ip::tcp::endpoint endpoint_of(const Address& at) {
-  return {asio::ip::address_v4(at.host), at.port};
-}
-
-std::string hex(std::uint64_t value) {
-  char text[17];
-  std::snprintf(text, sizeof(text), "%016llx", static_cast<unsigned long long>(value));
-  return text;
-}
-
 }  // namespace
 
 Platform::Platform(asio::io_context& io, PlatformConfig config, std::string config_path, bool trace)
@@ -60,6 +50,7 @@
       config_path_(std::move(config_path)),
       trace_(trace),
       calls_(config_.core.module.classes, config_.core.module.tenants),
+      connections_(*this, config_.streams_per_connection),
       listener_(
           io, [this](tcp::socket socket, Duration waited) { take(std::move(socket), waited); },
           [this](const std::string& what) { log_.warn("accept", what); }),
@@ -73,7 +64,7 @@
   const std::size_t shared = all > 2 * reserve_descriptors ? all - reserve_descriptors : all / 2;
   // The usual clients hold a third of all at the most; others are shed first.
   most_clients_ = shared / 2;
-  most_connections_ = shared - most_clients_;
+  connections_.allow(shared - most_clients_);
   const double memory = config_.limits.memory_mb > 0 ? config_.limits.memory_mb : usual_memory_mb;
   most_backlog_ = static_cast<std::size_t>(memory * 1048576 / backlog_part);
 }
@@ -91,7 +82,8 @@
   service::spawn(io_, sweep());
   log_.info("start", "listening on " + text_of(config_.listen) + ", event " + std::to_string(fleet_.last()) +
                          ", " + std::to_string(fleet_.size()) + " engines, " + std::to_string(most_clients_) +
-                         " clients and " + std::to_string(most_connections_) + " engine connections at most");
+                         " clients and " + std::to_string(connections_.most()) +
+                         " engine connections at most");
 }
 
 // ---- Clients ----
@@ -161,12 +153,12 @@
   arrived.repeated = query.repeated;
   request.statement = std::move(query.statement);
   if (trace_)
-    log_.info("came", hex(request.trace) + " client " + std::to_string(client->number()) + " query " +
+    log_.info("came", hex_of(request.trace) + " client " + std::to_string(client->number()) + " query " +
                           std::to_string(session) + " tables " + std::to_string(arrived.tables) + " bytes " +
                           std::to_string(request.statement.size()) + " cost_ms " +
                           std::to_string(arrived.told_cost ? arrived.told_cost->count() / 1000000 : 0) +
                           " patience_ms " + std::to_string(arrived.patience.count() / 1000000) + " key " +
-                          hex(arrived.order_key));
+                          hex_of(arrived.order_key));
   traces_[request.trace] = session;
   statement_bytes_ += request.statement.size();
   requests_.emplace(session, std::move(request));
@@ -194,7 +186,7 @@
   if (found == requests_.end() || found->second.let_go) return;
   found->second.let_go = true;
   forget_trace(found->second.trace, session);
-  if (trace_) log_.info("client left", hex(found->second.trace) + " query " + std::to_string(session));
+  if (trace_) log_.info("client left", hex_of(found->second.trace) + " query " + std::to_string(session));
   tell(core::SessionClosed{session});
 }
 
@@ -259,412 +251,7 @@
   request.client->answer(request.id, std::move(line));
 }
 
-// ---- Engines ----
-
-std::shared_ptr<EngineConnection> Platform::connection_for(EngineId engine, core::LinkUse use,
-                                                           core::StreamId id) {
-  const auto& all = connections_[engine];
-  std::vector<core::ConnectionFacts> facts;
-  facts.reserve(all.size());
-  for (const auto& connection : all) {
-    const bool takes_streams = !connection->retired() && !connection->closed();
-    facts.push_back(
-        {takes_streams, connection->table().may_carry(id), connection->streams(), connection->heard()});
-  }
-  const std::size_t engines = std::max<std::size_t>(1, fleet_.size());
-  core::ConnectionLimits limits;
-  limits.streams_per_connection = config_.streams_per_connection;
-  limits.usual = std::max<std::size_t>(2, most_connections_ / engines);
-  limits.room = connection_count_ < most_connections_ || idle_connection() != nullptr;
-  const core::ConnectionChoice choice = core::choose_connection(facts, limits, use);
-  switch (choice.kind) {
-    case core::ConnectionChoice::Kind::none: return nullptr;
-    case core::ConnectionChoice::Kind::open:
-      if (connection_count_ >= most_connections_) drop(idle_connection());
-      return open_connection(engine);
-    case core::ConnectionChoice::Kind::existing: break;
-  }
-  const auto existing = all[choice.index];
-  if (!existing->ended()) return existing;
-  connection_lost(existing, core::LinkLoss::closed, "ended");
-  return connection_for(engine, use, id);
-}
-
-std::shared_ptr<EngineConnection> Platform::open_connection(EngineId engine) {
-  const auto at = fleet_.address(engine);
-  if (!at) return nullptr;
-  const auto connection =
-      std::make_shared<EngineConnection>(*this, engine, endpoint_of(*at), ++last_connection_);
-  connections_[engine].push_back(connection);
-  ++connection_count_;
-  connection->start();
-  return connection;
-}
-
-// The one that has been idle for longest, of any engine.
-std::shared_ptr<EngineConnection> Platform::idle_connection() const {
-  std::shared_ptr<EngineConnection> oldest;
-  for (const auto& [engine, all] : connections_) {
-    for (const auto& connection : all)
-      if (connection->streams() == 0 && (!oldest || connection->used() < oldest->used())) oldest = connection;
-  }
-  return oldest;
-}
-
-std::shared_ptr<EngineConnection> Platform::find_connection(core::ConnectionId number) const {
-  for (const auto& [engine, all] : connections_)
-    for (const auto& connection : all)
-      if (connection->number() == number) return connection;
-  return nullptr;
-}
-
-void Platform::drop(const std::shared_ptr<EngineConnection>& connection) {
-  connection->close();
-  wire_attempts_.connection_closed(connection->number());
-  const auto all = connections_.find(connection->engine());
-  if (all == connections_.end()) return;
-  connection_count_ -= std::erase(all->second, connection);
-  if (all->second.empty()) connections_.erase(all);
-}
-
-// The id that a link's frames will have; nothing where its request is over.
-std::optional<core::StreamId> Platform::stream_id_of(const core::OpenLink& effect) {
-  if (effect.use == core::LinkUse::probe) return probe_ids | ++last_probe_;
-  return trace_of(effect.query);
-}
-
-// They lead to a process that is no more: nothing goes out on them to the one that comes after it.
-void Platform::retire_connections(EngineId engine) {
-  const auto found = connections_.find(engine);
-  if (found == connections_.end()) return;
-  const auto all = found->second;
-  for (const auto& connection : all) {
-    connection->retire();
-    if (connection->streams() == 0) drop(connection);
-  }
-}
-
-void Platform::carry_out(const core::OpenLink& effect) {
-  const auto id = stream_id_of(effect);
-  const auto connection = id ? connection_for(effect.engine, effect.use, *id) : nullptr;
-  if (!connection || !connection->table().reserve(*id, effect.link))
-    return tell(core::LinkLost{effect.link, core::LinkLoss::local});
-  if (connection->table().exhausted()) connection->retire();
-  Stream& stream = streams_[effect.link];
-  stream.engine = effect.engine;
-  stream.use = effect.use;
-  stream.connection = connection;
-  stream.id = *id;
-  connection->join();
-  if (connection->up()) tell(core::LinkUp{effect.link});
-}
-
-void Platform::connection_up(const std::shared_ptr<EngineConnection>& connection) {
-  std::vector<core::LinkId> waiting;
-  for (const auto& [link, stream] : streams_)
-    if (stream.connection == connection && !stream.sent) waiting.push_back(link);
-  for (const core::LinkId link : waiting) tell(core::LinkUp{link});
-}
-
-void Platform::connection_lost(const std::shared_ptr<EngineConnection>& connection, core::LinkLoss why,
-                               const std::string& what) {
-  std::vector<core::LinkId> on_it;
-  for (const auto& [link, stream] : streams_)
-    if (stream.connection == connection) on_it.push_back(link);
-  if (why == core::LinkLoss::broken_protocol || !on_it.empty() || trace_)
-    log_.info("engine connection", "engine " + std::to_string(connection->engine()) + ": " + what + "; " +
-                                       std::to_string(on_it.size()) + " streams end");
-  drop(connection);
-  for (const core::LinkId link : on_it) tell(core::LinkLost{link, why});
-}
-
-bool Platform::may_dispatch(core::QueryId query) {
-  for (bool just_read = false;; just_read = true) {
-    const auto asked = requests_.find(query);
-    if (asked == requests_.end()) return false;
-    const std::shared_ptr<Client> client = asked->second.client;
-    core::DispatchFacts facts;
-    facts.client_present = client->open() && !asked->second.let_go;
-    facts.since_client_was_read = now() - client->read_empty();
-    facts.time_left = asked->second.until - now();
-    facts.just_read = just_read;
-    const core::DispatchDecision decision = core::may_dispatch(facts);
-    if (decision != core::DispatchDecision::read_client_first)
-      return decision == core::DispatchDecision::dispatch;
-    client->read_now();
-  }
-}
-
-std::string Platform::request_frame(const Stream& stream, const Request& request, TimePoint at) const {
-  std::string frame;
-  engine_frames::Request out;
-  out.id = request.trace;
-  out.class_name = config_.core.module.classes[request.class_index].name;
-  out.token = request.nonce;
-  out.statement = request.statement;
-  out.wait = request.until - at;
-  out.memory_mb = stream.memory_mb;
-  out.rank = stream.rank;
-  engine_frames::put_request(frame, out);
-  return frame;
-}
-
-std::string Platform::probe_frame(const Stream& stream) const {
-  std::string frame;
-  engine_frames::put_probe(frame, stream.id, !config_.report_names.empty());
-  return frame;
-}
-
-std::optional<std::string> Platform::frame_for(core::LinkId link) {
-  auto found = streams_.find(link);
-  if (found == streams_.end()) return std::nullopt;
-  if (found->second.use == core::LinkUse::probe) return probe_frame(found->second);
-  const bool may = may_dispatch(found->second.query);
-  found = streams_.find(link);  // the look may have changed the table
-  if (found == streams_.end()) return std::nullopt;
-  const auto asked = requests_.find(found->second.query);
-  if (!may || asked == requests_.end()) {
-    found->second.sent = false;
-    found->second.connection->table().release(found->second.id);
-    wire_attempts_.ended(found->second.id, found->second.connection->number());
-    return std::nullopt;
-  }
-  found->second.at = now();
-  return request_frame(found->second, asked->second, found->second.at);
-}
-
-core::Written Platform::send(const core::SendQuery& effect) {
-  if (!may_dispatch(effect.query)) {
-    if (trace_)
-      log_.info("withheld", "query " + std::to_string(effect.query) + ": its client is gone, or its time");
-    return core::Written::withheld;
-  }
-  const auto found = streams_.find(effect.link);
-  const auto asked = requests_.find(effect.query);
-  if (found == streams_.end() || asked == requests_.end()) return core::Written::failed;
-  Stream& stream = found->second;
-  const Request& request = asked->second;
-  if (stream.connection->closed()) return core::Written::failed;
-  if (!may_begin_attempt(request.trace)) return core::Written::withheld;
-  if (!stream.connection->table().open(stream.id, effect.link)) {
-    count(core::Violation::stream_id_used_twice, hex(stream.id));
-    return core::Written::withheld;
-  }
-  stream.query = effect.query;
-  stream.memory_mb = effect.memory_mb;
-  stream.rank = effect.priority;
-  stream.sent = true;
-  stream.at = now();
-  std::string frame = request_frame(stream, request, stream.at);
-  if (trace_)
-    log_.info("sent", hex(stream.id) + " query " + std::to_string(effect.query) + " attempt " +
-                          std::to_string(effect.attempt) + " engine " + std::to_string(stream.engine) +
-                          " connection " + std::to_string(stream.connection->number()) + " rank " +
-                          std::to_string(effect.priority) + " grant " + std::to_string(effect.memory_mb));
-  wire_attempts_.began(stream.id, stream.connection->number());
-  const core::Written written = stream.connection->send(effect.link, stream.id, std::move(frame));
-  if (written == core::Written::failed) {
-    stream.sent = false;
-    wire_attempts_.ended(stream.id, stream.connection->number());
-  }
-  check_dispatch(stream, request);
-  return written;
-}
-
-// The core is told that a cancelled attempt is over as soon as its cancel was sent. Before the next one
-// begins that must be so for the engine too: where the cancel has not left, the connection's end gives the
-// attempt up.
-bool Platform::may_begin_attempt(std::uint64_t trace) {
-  for (const core::ConnectionId number : wire_attempts_.being_cancelled(trace)) {
-    const auto connection = find_connection(number);
-    if (connection && !connection->cancel_has_left(trace))
-      connection_lost(connection, core::LinkLoss::closed,
-                      "a cancel could not be sent before the next attempt");
-    wire_attempts_.ended(trace, number);
-  }
-  if (!wire_attempts_.out(trace)) return true;
-  count(core::Violation::second_attempt_out, hex(trace));
-  return false;
-}
-
-// The rule's own decision is held against what is so once the bytes have left.
-void Platform::check_dispatch(const Stream& stream, const Request& request) {
-  if (!stream.sent) return;
-  if (request.let_go || !request.client->open())
-    count(core::Violation::begun_after_client_left, hex(stream.id));
-  if (now() - stream.at > slack_of_deadline) count(core::Violation::deadline_beyond_client, hex(stream.id));
-}
-
-core::Written Platform::send(const core::SendProbe& effect) {
-  const auto found = streams_.find(effect.link);
-  if (found == streams_.end() || found->second.connection->closed()) return core::Written::failed;
-  Stream& stream = found->second;
-  if (!stream.connection->table().open(stream.id, effect.link)) return core::Written::withheld;
-  stream.sent = true;
-  stream.at = now();
-  const core::Written written = stream.connection->send(effect.link, stream.id, probe_frame(stream));
-  if (written == core::Written::failed) stream.sent = false;
-  return written;
-}
-
-void Platform::frame_without_stream(const EngineConnection& connection, const engine_frames::Answer& answer) {
-  ++frames_without_stream_;
-  if (!trace_) return;
-  log_.info("frame without stream",
-            hex(answer.id) + " code " + std::to_string(static_cast<int>(answer.code)) + " engine " +
-                std::to_string(connection.engine()) + " connection " + std::to_string(connection.number()));
-}
-
-void Platform::log_attempt_end(const Stream& stream, std::string_view how) {
-  if (!trace_ || stream.use == core::LinkUse::probe) return;
-  log_.info("attempt ended", hex(stream.id) + " query " + std::to_string(stream.query) + " engine " +
-                                 std::to_string(stream.engine) + " connection " +
-                                 std::to_string(stream.connection->number()) + ": " + std::string(how));
-}
-
-LoadReport Platform::report_of(const engine_frames::Answer& answer) const {
-  LoadReport report;
-  for (const auto& [name, value] : answer.gauges)
-    if (name == "inflight") report.queries = value;
-  return report;
-}
-
-std::string Platform::answered(EngineConnection& connection, core::LinkId link,
-                               engine_frames::Answer answer) {
-  const auto found = streams_.find(link);
-  if (found == streams_.end()) return {};
-  Stream& stream = found->second;
-  if (stream.use == core::LinkUse::probe) {
-    if (answer.code != engine_frames::Reply::well && answer.code != engine_frames::Reply::ill) return {};
-    core::AnswerEnd end;
-    end.link = link;
-    end.ending =
-        answer.code == engine_frames::Reply::well ? core::Ending::complete : core::Ending::engine_error;
-    end.report = report_of(answer);
-    stream.ended = true;
-    connection.end_stream(stream.id);
-    if (trace_) log_.info("probe", "engine " + std::to_string(stream.engine));
-    tell(end);
-    return {};
-  }
-  stream.at = now();
-  auto step = stream.answer.take(std::move(answer));
-  if (const auto* broken = std::get_if<engine_frames::Broken>(&step)) return broken->what;
-  if (const auto* more = std::get_if<PagedAnswer::More>(&step)) {
-    std::string frames;
-    for (std::uint32_t page = 1; page < more->pages; ++page)
-      engine_frames::put_page_wanted(frames, stream.id, page);
-    connection.send_command(stream.id, std::move(frames));
-    return {};
-  }
-  const auto* done = std::get_if<PagedAnswer::Done>(&step);
-  if (done == nullptr) return {};
-  const engine_frames::Answer& head = stream.answer.head();
-  core::AnswerEnd end;
-  end.link = link;
-  end.ending = done->ending;
-  end.bytes = stream.answer.body().size();
-  if (head.work_ms) end.work = Duration{std::llround(*head.work_ms * 1e6)};
-  end.memory_mb = head.memory_mb;
-  end.report = report_of(head);
-  stream.ended = true;
-  log_attempt_end(stream, "answered, code " + std::to_string(static_cast<int>(head.code)));
-  connection.end_stream(stream.id);
-  if (head.pages > 1) {
-    std::string frame;
-    engine_frames::put_no_more(frame, stream.id);
-    connection.send_command(stream.id, std::move(frame));
-  }
-  wire_attempts_.ended(stream.id, connection.number());
-  tell(end);
-  return {};
-}
-
-// From here on the attempt is over for the core; for the engine once its cancel has left, or the connection
-// is closed (may_begin_attempt).
-void Platform::give_up(core::LinkId link, Stream& stream) {
-  if (!stream.sent || stream.ended) return;
-  stream.ended = true;
-  EngineConnection& connection = *stream.connection;
-  if (connection.closed()) return;
-  switch (connection.withdraw(link)) {
-    case FrameQueue::Withdrawn::whole:
-      connection.table().release(stream.id);
-      return wire_attempts_.ended(stream.id, connection.number());
-    case FrameQueue::Withdrawn::half:
-      // The engine must never get the rest, and nothing can follow half a frame.
-      return connection_lost(stream.connection, core::LinkLoss::closed,
-                             "a request was given up half written");
-    case FrameQueue::Withdrawn::unknown: break;
-  }
-  connection.end_stream(stream.id);
-  connection.retire();
-  if (stream.use == core::LinkUse::probe) return;
-  std::string frame;
-  stream.answer.paging() ? engine_frames::put_no_more(frame, stream.id)
-                         : engine_frames::put_give_up(frame, stream.id);
-  connection.send_cancel(stream.id, std::move(frame));
-  connection.cancel_has_left(stream.id) ? wire_attempts_.ended(stream.id, connection.number())
-                                        : wire_attempts_.cancelling(stream.id, connection.number());
-}
-
-// The protocol gives up at once and without an answer.
-void Platform::carry_out(const core::CancelOnEngine& effect) {
-  const auto found = streams_.find(effect.link);
-  if (found == streams_.end()) return;
-  log_attempt_end(found->second, "cancelled or timed out");
-  give_up(effect.link, found->second);
-  tell(core::LinkLost{effect.link, core::LinkLoss::closed});
-}
-
-void Platform::carry_out(const core::ChangeTerms& effect) {
-  const auto found = streams_.find(effect.link);
-  if (found == streams_.end() || !found->second.sent || found->second.ended) return;
-  std::string frame;
-  found->second.rank = effect.priority;
-  engine_frames::put_priority(frame, found->second.id, effect.priority);
-  found->second.connection->send_command(found->second.id, std::move(frame));
-}
-
-void Platform::carry_out(const core::CloseLink& effect) {
-  const auto found = streams_.find(effect.link);
-  if (found == streams_.end()) return;
-  give_up(effect.link, found->second);
-  const auto connection = found->second.connection;
-  if (!found->second.sent) connection->table().release(found->second.id);
-  streams_.erase(found);
-  connection->leave(now());
-  if (connection->closed() || connection->streams() > 0) return;
-  const bool hangs = !connection->up() && now() - connection->opened() >= config_.core.connect_time_out;
-  if (connection->retired() || hangs || !fleet_.address(connection->engine())) drop(connection);
-}
-
-void Platform::sweep_connections(TimePoint at) {
-  // An idle connection is closed from here, before the engine does: a request must not cross its close.
-  const Duration idle = config_.core.idle_link_life - std::min(config_.core.idle_link_life / 2, Duration(2s));
-  const Duration wait = config_.core.connect_time_out;
-  std::vector<std::shared_ptr<EngineConnection>> stalled, dead;
-  for (const auto& [engine, all] : connections_) {
-    const bool gone = !fleet_.address(engine);
-    for (const auto& connection : all) {
-      if (connection->stalled_since() && at - *connection->stalled_since() > wait) {
-        stalled.push_back(connection);
-      } else if (connection->streams() == 0 && (gone || at - connection->used() > idle ||
-                                                (!connection->up() && at - connection->opened() > wait))) {
-        dead.push_back(connection);
-      }
-    }
-  }
-  for (const auto& [link, stream] : streams_) {
-    if (stream.sent && !stream.ended && stream.answer.paging() && at - stream.at > wait &&
-        std::find(stalled.begin(), stalled.end(), stream.connection) == stalled.end())
-      stalled.push_back(stream.connection);
-  }
-  for (const auto& connection : dead) drop(connection);
-  for (const auto& connection : stalled)
-    if (!connection->closed())
-      connection_lost(connection, core::LinkLoss::broken_protocol, "the rest of an answer did not come");
-}
+// ---- Sweeps ----
 
 asio::awaitable<void> Platform::sweep() {
   asio::steady_timer timer(io_);
@@ -722,7 +309,7 @@
   std::vector<EngineId> ended;
   const Fleet::Taken taken = fleet_.take(event, told, ended);
   if (taken != Fleet::Taken::applied) return taken;
-  for (const EngineId engine : ended) retire_connections(engine);
+  for (const EngineId engine : ended) connections_.retire_all_of(engine);
   engine_starts_.map(now(), told.engines);
   if (trace_)
     for (const EngineEntry& entry : told.engines)
--- a/src/platform/platform.hpp
+++ b/src/platform/platform.hpp
@@ -14,10 +14,8 @@
 
 #include "client.hpp"
 #include "config.hpp"
-#include "core/connection_choice.hpp"
-#include "core/wire_attempts.hpp"
 #include "discovery_watch.hpp"
-#include "engine_connection.hpp"
+#include "engine_connections.hpp"
 #include "fleet.hpp"
 #include "protocol/sql/tables.hpp"
 #include "service/desk_host.hpp"
@@ -51,7 +49,7 @@
   [[nodiscard]] std::size_t clients() const { return clients_.size(); }
   [[nodiscard]] std::size_t unread_bytes() const;  // of answers, by clients
   [[nodiscard]] std::size_t dropped_bytes() const { return dropped_bytes_; }  // behind an end
-  [[nodiscard]] std::size_t engine_connections() const { return connection_count_; }
+  [[nodiscard]] std::size_t engine_connections() const { return connections_.size(); }
   [[nodiscard]] std::size_t engines() const { return fleet_.size(); }
   [[nodiscard]] std::uint64_t last_event() const { return fleet_.last(); }
 
@@ -146,13 +144,8 @@
   Fleet::Taken apply(const command_channel::Event& event);
   std::optional<core::StreamId> stream_id_of(const core::OpenLink& effect);
   std::shared_ptr<EngineConnection> connection_for(EngineId engine, core::LinkUse use, core::StreamId id);
-  [[nodiscard]] std::shared_ptr<EngineConnection> idle_connection() const;
-  [[nodiscard]] std::shared_ptr<EngineConnection> find_connection(core::ConnectionId number) const;
   // Whether an attempt of this request may go out now; what was cancelled is over for its engine then.
   bool may_begin_attempt(std::uint64_t trace);
-  std::shared_ptr<EngineConnection> open_connection(EngineId engine);
-  void retire_connections(EngineId engine);
-  void drop(const std::shared_ptr<EngineConnection>& connection);
   void give_up(core::LinkId link, Stream& stream);
   void sweep_connections(TimePoint at);
   void log_attempt_end(const Stream& stream, std::string_view how);
@@ -162,6 +155,7 @@
   std::string config_path_;
   bool trace_;
   jsonrpc::CallReader calls_;
+  EngineConnections connections_;
   service::Listener listener_;
   DiscoveryWatch discovery_;
 
@@ -169,15 +163,11 @@
   std::unordered_map<core::SessionId, Request> requests_;  // a session asks the query of its own number
   std::unordered_map<std::uint64_t, core::SessionId> traces_;  // of requests whose clients wait
   std::map<core::LinkId, Stream> streams_;  // in the order of links: what follows from a loss has one order
-  std::map<EngineId, std::vector<std::shared_ptr<EngineConnection>>> connections_;
-  std::size_t connection_count_ = 0;
-  core::WireAttempts wire_attempts_;
   Fleet fleet_;
-  std::size_t most_clients_ = 0, most_connections_ = 0;
+  std::size_t most_clients_ = 0;
   std::size_t most_backlog_ = 0;
   std::size_t statement_bytes_ = 0;  // of the requests that are open
   std::uint64_t last_client_ = 0, last_session_ = 0, last_probe_ = 0;
-  core::ConnectionId last_connection_ = 0;
   std::uint64_t frames_without_stream_ = 0;
   std::uint64_t turned_away_ = 0;
   std::size_t dropped_bytes_ = 0;
