--- a/src/platform/platform.cpp
+++ b/src/platform/platform.cpp
@@ -396,6 +396,9 @@
 void Platform::close_connections() {
   stop();
   discovery_.stop();
+  log_.info("totals", std::to_string(frames_without_stream_) + " frames without stream, " +
+                          std::to_string(connections_.attempts().size()) + " attempts out, " +
+                          std::to_string(violations().total()) + " violations");
   std::vector<std::shared_ptr<Client>> all;
   for (const auto& [number, client] : clients_) all.push_back(client);
   for (const auto& client : all) {
