--- a/src/platform/client.cpp
+++ b/src/platform/client.cpp
@@ -145,7 +145,7 @@
     read_fails_since_.reset();
     waited_ = {};
   } else if (last == IoStatus::retry_later && !read_fails_since_) {
-    read_fails_since_ = now;
+    read_fails_since_ = now - input_lateness_;  // the first failure may come late itself
   }
 }
 
--- a/src/platform/platform.cpp
+++ b/src/platform/platform.cpp
@@ -53,7 +53,7 @@
       connections_(*this, config_.streams_per_connection),
       listener_(
           io, [this](tcp::socket socket, Duration waited) { take(std::move(socket), waited); },
-          [this](const std::string& what) { log_.warn("accept", what); }),
+          [this](const std::string& what) { log_.warn("accept", what); }, [this] { return lateness(); }),
       discovery_(io, endpoint_of(config_.channel),
                  {[this] { return fleet_.last(); },
                   [this](const command_channel::Event& event) { return apply(event) != Fleet::Taken::gap; },
--- a/src/service/listener.cpp
+++ b/src/service/listener.cpp
@@ -24,8 +24,12 @@
 
 }  // namespace
 
-Listener::Listener(asio::io_context& io, OnConnection on_connection, OnTrouble on_trouble)
-    : io_(io), on_connection_(std::move(on_connection)), on_trouble_(std::move(on_trouble)), acceptor_(io) {}
+Listener::Listener(asio::io_context& io, OnConnection on_connection, OnTrouble on_trouble, Lateness lateness)
+    : io_(io),
+      on_connection_(std::move(on_connection)),
+      on_trouble_(std::move(on_trouble)),
+      lateness_(std::move(lateness)),
+      acceptor_(io) {}
 
 void Listener::open(const tcp::endpoint& at) {
   error_code ignored;
@@ -61,7 +65,8 @@
 
 void Listener::note_trouble(const error_code& error) {
   if (in_trouble_since_) return;
-  in_trouble_since_ = steady_now();
+  // Behind a stall the first failure comes late itself: what is in the queue has waited since before it.
+  in_trouble_since_ = steady_now() - lateness_();
   on_trouble_(error.message() + "; connections wait");
 }
 
--- a/src/service/listener.hpp
+++ b/src/service/listener.hpp
@@ -17,9 +17,11 @@
   /// `waited`: for so long it may have been in the queue, because accept failed; else zero.
   using OnConnection = std::function<void(tcp::socket, Duration waited)>;
   using OnTrouble = std::function<void(const std::string&)>;
+  /// By how much the loop is behind just now.
+  using Lateness = std::function<Duration()>;
 
   /// `on_trouble` hears of the first error of a series.
-  Listener(boost::asio::io_context& io, OnConnection on_connection, OnTrouble on_trouble);
+  Listener(boost::asio::io_context& io, OnConnection on_connection, OnTrouble on_trouble, Lateness lateness);
 
   /// Throws boost::system::system_error; may be called again then.
   void open(const tcp::endpoint& at);
@@ -47,6 +49,7 @@
   boost::asio::io_context& io_;
   OnConnection on_connection_;
   OnTrouble on_trouble_;
+  Lateness lateness_;
   tcp::acceptor acceptor_;
   tcp protocol_ = tcp::v4();
   std::uint16_t port_ = 0;
--- a/src/service/manager.cpp
+++ b/src/service/manager.cpp
@@ -53,7 +53,7 @@
       classifier_(config_.classifier, config_.core.module),
       listener_(
           io, [this](tcp::socket socket, Duration) { take(std::move(socket)); },
-          [this](const std::string& what) { log_.warn("accept", what); }) {
+          [this](const std::string& what) { log_.warn("accept", what); }, [this] { return lateness(); }) {
   front_settings_.most_message = config_.listen.most_message;
 }
 
--- a/tests/platform/manager_process.hpp
+++ b/tests/platform/manager_process.hpp
@@ -12,16 +12,10 @@
 
 namespace paddlestand::platform::test {
 
-/// The path of `paddlestand`, from the environment of the test.
+/// The path of `paddlestand`: the build's own, or another one to be tested by the same cases.
 inline std::string manager_program() {
-  const char* path = std::getenv("PADDLESTAND_PROGRAM");
-  return path == nullptr ? "" : path;
-}
-
-/// The path of the library of call faults, from the environment of the test.
-inline std::string fault_library() {
-  const char* path = std::getenv("PADDLESTAND_FAULT_LIBRARY");
-  return path == nullptr ? "" : path;
+  const char* other = std::getenv("PADDLESTAND_PROGRAM");
+  return other == nullptr ? PADDLESTAND_PROGRAM_PATH : other;
 }
 
 /// The settings of one manager before some engines: three classes that differ in what a repeat may do.
@@ -75,7 +69,7 @@
     std::ofstream(folder_ / "config.json") << config;
     boost::process::environment environment = boost::this_process::environment();
     if (!call_faults.empty()) {
-      environment["LD_PRELOAD"] = fault_library();
+      environment["LD_PRELOAD"] = PADDLESTAND_FAULT_LIBRARY_PATH;
       environment["PADDLESTAND_FAULTS"] = call_faults;
       environment["ASAN_OPTIONS"] = "verify_asan_link_order=0:detect_leaks=0";
     }
