--- a/tests/faults/event_log.hpp
+++ b/tests/faults/event_log.hpp
@@ -25,6 +25,7 @@
   attempt_ended,  // at an engine; `detail`: answered, cancelled or closed
   crashed,  // a manager was killed without notice
   killed,  // a manager was killed as announced by SIGTERM
+  engine_killed,  // an engine's process ended, and all that it had out
   draining,  // an engine was told to drain, or is gone
   exited,  // a manager ended by itself; `value`: its exit code, or minus the signal
   not_ready,  // a manager took too long to be ready
--- a/tests/faults/main.cpp
+++ b/tests/faults/main.cpp
@@ -40,6 +40,7 @@
   engine_command->add_option("--late", engine.late);
   engine_command->add_option("--hang-from", engine.hang_from_s);
   engine_command->add_option("--hang-until", engine.hang_until_s);
+  engine_command->add_flag("--deaf,!--hears", engine.deaf);
   engine_command->callback([&] {
     engine.listen = parse_endpoint(listen);
     result = run_engine(engine);
--- a/tests/faults/processes.hpp
+++ b/tests/faults/processes.hpp
@@ -20,6 +20,7 @@
   double trouble = 0;  // scales the chances of errors, resets, lost and spoilt answers
   double late = 0;  // scales the chances of copies, frames behind an end, pages that are known no more
   double hang_from_s = 0, hang_until_s = 0;  // since its start; equal: never
+  bool deaf = false;  // while it hangs it reads nothing either
 };
 int run_engine(const EngineOptions& options);
 
--- a/tests/faults/profiles.hpp
+++ b/tests/faults/profiles.hpp
@@ -22,6 +22,8 @@
   bool stops = false;  // SIGSTOP for a moment
   bool drains = false;  // engines drain, new ones join
   bool hangs = false;  // engines stop answering for a while
+  bool deaf = false;  // and they read nothing meanwhile
+  bool engine_restarts = false;  // engines are killed, and come back under their ids and addresses
   bool silence = false;  // discovery falls silent
   std::vector<std::string> rules;  // of call_faults.cpp; one is drawn for each start of a manager
 };
