Fault runs: nothing is held against an engine from when it reads nothing on

It writes down now from when on it reads nothing, and what is given up thereafter ends at a time that it can't tell.

--- a/src/platform/client.cpp
+++ b/src/platform/client.cpp
@@ -105,6 +105,7 @@
 // What is here is read to its end before any of it is acted on, a turn's worth at most: who sends much and
 // goes has gone, and nothing of it is begun.
 Client::Input Client::read_input() {
+  const TimePoint began = platform_.reading();
   std::size_t got = 0;
   IoResult last;
   reading_ = true;
@@ -122,7 +123,7 @@
     input_ended(last);
     return Input::ended;
   }
-  note_lateness(last.status);
+  note_lateness(last.status, began);
   if (got == 0) return Input::all_read;
   heard_ = platform_.reading();
   if (open()) {
@@ -136,16 +137,17 @@
   return last.status == IoStatus::progress ? Input::more_is_here : Input::all_read;
 }
 
-void Client::note_lateness(IoStatus last) {
+void Client::note_lateness(IoStatus last, TimePoint began) {
   const TimePoint now = platform_.reading();
   const Duration failing = read_fails_since_ ? now - *read_fails_since_ : Duration{};
-  input_lateness_ = std::max({platform_.lateness(), failing, waited_});
+  const Duration lateness = std::max({platform_.lateness(), failing, waited_});
+  input_time_ = std::min(began, now - lateness);
   if (last == IoStatus::would_block) {
     read_empty_ = now;
     read_fails_since_.reset();
     waited_ = {};
   } else if (last == IoStatus::retry_later && !read_fails_since_) {
-    read_fails_since_ = now - input_lateness_;  // the first failure may come late itself
+    read_fails_since_ = input_time_;  // the first failure may come late itself
   }
 }
 
--- a/src/platform/client.hpp
+++ b/src/platform/client.hpp
@@ -47,8 +47,9 @@
   [[nodiscard]] bool lingering() const { return phase_ == Phase::lingering; }
   [[nodiscard]] bool may_speak();  // bytes of it wait to be read, or nobody knows
   [[nodiscard]] bool open() const { return phase_ == Phase::open; }
-  // By how much what is being read now may have come earlier: accepting, reading or the loop was late.
-  [[nodiscard]] Duration input_lateness() const { return input_lateness_; }
+  // When what is being acted on may have come at the earliest: before it was read, where accepting, reading
+  // or the loop was late. A reading of the clock at the time of acting would miss a stall in between.
+  [[nodiscard]] TimePoint input_time() const { return input_time_; }
   // When it was last read until nothing was left.
   [[nodiscard]] TimePoint read_empty() const { return read_empty_; }
   [[nodiscard]] bool spoke() const { return spoke_; }  // a message was taken from it
@@ -64,7 +65,7 @@
 
   boost::asio::awaitable<void> read();
   Input read_input();
-  void note_lateness(service::IoStatus last);
+  void note_lateness(service::IoStatus last, TimePoint began);
   void input_ended(const service::IoResult& result);
   void note_partial_message(bool whole_ones_came);
   [[nodiscard]] bool message_overdue(TimePoint now) const;
@@ -98,9 +99,9 @@
   std::uint64_t written_in_all_ = 0;
   std::size_t unwritten_answers_ = 0;
   std::size_t dropped_ = 0;  // bytes that came after its end was decided
-  TimePoint accepted_{}, heard_{}, used_{}, progress_{}, ended_{}, read_empty_{};
+  TimePoint accepted_{}, heard_{}, used_{}, progress_{}, ended_{}, read_empty_{}, input_time_{};
   std::optional<TimePoint> inside_since_, read_fails_since_;
-  Duration waited_, input_lateness_{};
+  Duration waited_;
   Phase phase_ = Phase::open;
   service::IoStatus last_read_ = service::IoStatus::would_block;
   bool spoke_ = false, writes_ = false, reading_ = false;
--- a/src/platform/platform.cpp
+++ b/src/platform/platform.cpp
@@ -136,9 +136,8 @@
   request.id = query.id;
   request.trace = query.trace;
   request.class_index = query.class_index;
-  // What is read late came earlier, and its client has waited meanwhile.
-  const Duration patience = std::max(Duration{0}, query.patience - client->input_lateness());
-  request.until = now() + patience;
+  request.until = client->input_time() + query.patience;
+  const Duration patience = std::max(Duration{0}, request.until - now());
   request.nonce = std::move(query.nonce);
   core::QueryArrived arrived;
   arrived.session = session;
--- a/tests/faults/engine.cpp
+++ b/tests/faults/engine.cpp
@@ -84,8 +84,9 @@
 
   void wait() {
     if (options_.deaf && hangs()) {
-      ::usleep(deaf_step_us);
+      if (!was_deaf_) log_.write({EventKind::deaf, monotonic_now(), 0, options_.number, 0, 0, 0, false, ""});
       was_deaf_ = true;
+      ::usleep(deaf_step_us);
       return;
     }
     std::vector<pollfd> all{{listener_, POLLIN, 0}};
--- a/tests/faults/event_log.hpp
+++ b/tests/faults/event_log.hpp
@@ -26,6 +26,7 @@
   crashed,  // a manager was killed without notice
   killed,  // a manager was killed as announced by SIGTERM
   engine_killed,  // an engine's process ended, and all that it had out
+  deaf,  // an engine reads nothing from here on, for some time
   draining,  // an engine was told to drain, or is gone
   exited,  // a manager ended by itself; `value`: its exit code, or minus the signal
   not_ready,  // a manager took too long to be ready
