--- a/src/platform/engine_connection.cpp
+++ b/src/platform/engine_connection.cpp
@@ -135,11 +135,15 @@
 
 // ---- Writing ----
 
-core::Written EngineConnection::send(core::LinkId link, core::StreamId id, std::string frame) {
+core::Written EngineConnection::send(core::LinkId link, core::StreamId id, std::string frame,
+                                     TimePoint made) {
   if (send_failed_) return core::Written::failed;
-  queue_.push({link, id, false, std::move(frame), platform_.reading()});
+  queue_.push({link, id, false, std::move(frame), made});
   if (writes_) return core::Written::partly;
+  being_sent_ = link;
   const IoStatus status = write_pending();
+  const bool dropped = !std::exchange(being_sent_, std::nullopt);
+  if (dropped) return core::Written::withheld;
   if (status == IoStatus::progress) return core::Written::whole;
   if (status == IoStatus::ended) {
     const bool begun = queue_.front_begun();
@@ -221,7 +225,11 @@
       return true;
     }
     queue_.drop_front();
-    platform_.tell(core::LinkLost{link, core::LinkLoss::local});
+    if (being_sent_ == link) {
+      being_sent_.reset();  // its own send() tells
+    } else {
+      platform_.tell(core::LinkLost{link, core::LinkLoss::local});
+    }
   }
   return false;
 }
--- a/src/platform/engine_connection.hpp
+++ b/src/platform/engine_connection.hpp
@@ -57,7 +57,8 @@
 
   // A frame counts from its first byte on: `whole` says that this went out, `partly` that it waits behind
   // others and can still be withdrawn.
-  core::Written send(core::LinkId link, core::StreamId id, std::string frame);
+  // `made`: when its deadline was reckoned.
+  core::Written send(core::LinkId link, core::StreamId id, std::string frame, TimePoint made);
   /// About a stream that is open; dropped unsent at its end.
   void send_command(core::StreamId id, std::string frame);
   /// The last command about a stream; no engine answers it. See cancel_has_left().
@@ -97,6 +98,7 @@
   std::map<core::StreamId, std::uint64_t> cancels_;  // written whole: up to which of these; a few at most
   boost::system::error_code send_error_;
   TimePoint opened_{}, heard_{}, used_{};
+  std::optional<core::LinkId> being_sent_;  // in its own send(), while no byte of it went out
   std::optional<TimePoint> inside_since_;
   bool up_ = false, closed_ = false, retired_ = false, writes_ = false, send_failed_ = false;
 };
--- a/src/platform/platform_engines.cpp
+++ b/src/platform/platform_engines.cpp
@@ -155,7 +155,7 @@
                           " connection " + std::to_string(stream.connection->number()) + " rank " +
                           std::to_string(effect.priority) + " grant " + std::to_string(effect.memory_mb));
   connections_.attempts().began(stream.id, stream.connection->number());
-  const core::Written written = stream.connection->send(effect.link, stream.id, std::move(frame));
+  const core::Written written = stream.connection->send(effect.link, stream.id, std::move(frame), stream.at);
   if (written == core::Written::failed) {
     stream.sent = false;
     connections_.attempts().ended(stream.id, stream.connection->number());
@@ -196,7 +196,8 @@
   if (!stream.connection->table().open(stream.id, effect.link)) return core::Written::withheld;
   stream.sent = true;
   stream.at = now();
-  const core::Written written = stream.connection->send(effect.link, stream.id, probe_frame(stream));
+  const core::Written written =
+      stream.connection->send(effect.link, stream.id, probe_frame(stream), stream.at);
   if (written == core::Written::failed) stream.sent = false;
   return written;
 }
