The stop in the middle of a turn finds its turn on slow builds, too

The first whole run of the checks failed in the sanitized build: 60 stops at 0 to 440 us after the requests, and none within a turn, which begins later there and beside load. Nothing was wrong with the manager. The delay follows what is seen now; what is expected stays as strict.

--- a/tests/incidents/stall_test.cpp
+++ b/tests/incidents/stall_test.cpp
@@ -62,8 +62,9 @@
 // stopped, and sent the others on 278 ms later with all of their clients' time. It reckoned from when it
 // acted on a request, not from when it had read it. Stopped here at many points of such turns.
 TEST_F(StalledManager, TellsAnEngineNoMoreThanItsClientHasLeftWhereverItsTurnIsInterrupted) {
-  constexpr unsigned most_tries = 60, wanted = 4, requests = 30, points = 12;
-  constexpr std::chrono::microseconds step{40};
+  constexpr unsigned most_tries = 60, wanted = 4, requests = 30;
+  // How long after the requests: follows what is seen, as turns of a slow build or machine come later.
+  std::chrono::microseconds delay{100};
   auto ask_together = [&, id = asked_id + 100]() mutable {
     std::string lines;
     for (unsigned k = 0; k < requests; ++k)
@@ -80,7 +81,7 @@
     std::this_thread::sleep_for(
         100ms);  // what is read right after a stall is reckoned to have come before it
     const auto asked = ask_together();
-    while (Clock::now() < asked + i % points * step) {}  // a sleep would be too long
+    while (Clock::now() < asked + delay) {}  // a sleep would be too long
     manager().stop();
     std::this_thread::sleep_for(250ms);
     unsigned sent = 0;
@@ -88,6 +89,8 @@
       serve_all(engine(), on, frame);
       ++sent;
     });
+    if (sent == 0) delay += delay / 4;
+    if (sent == requests) delay -= delay / 4;
     interrupted += sent > 0 && sent < requests ? 1 : 0;
     manager().go_on();
     answer_all(asked);
