--- a/src/platform/platform_engines.cpp
+++ b/src/platform/platform_engines.cpp
@@ -265,12 +265,14 @@
   stream.ended = true;
   log_attempt_end(stream, "answered, code " + std::to_string(static_cast<int>(head.code)));
   connection.end_stream(stream.id);
+  const core::StreamId id = stream.id;
+  connections_.attempts().ended(stream.id, connection.number());
+  // Writing may read clients and end links, this one too: the stream is not touched behind it.
   if (head.pages > 1) {
     std::string frame;
-    engine_frames::put_no_more(frame, stream.id);
-    connection.send_command(stream.id, std::move(frame));
+    engine_frames::put_no_more(frame, id);
+    connection.send_command(id, std::move(frame));
   }
-  connections_.attempts().ended(stream.id, connection.number());
   tell(end);
   return {};
 }
@@ -298,9 +300,11 @@
   std::string frame;
   stream.answer.paging() ? engine_frames::put_no_more(frame, stream.id)
                          : engine_frames::put_give_up(frame, stream.id);
-  connection.send_cancel(stream.id, std::move(frame));
-  connection.cancel_has_left(stream.id) ? connections_.attempts().ended(stream.id, connection.number())
-                                        : connections_.attempts().cancelling(stream.id, connection.number());
+  const core::StreamId id = stream.id;
+  const auto kept = stream.connection;
+  connection.send_cancel(id, std::move(frame));
+  connection.cancel_has_left(id) ? connections_.attempts().ended(id, connection.number())
+                                 : connections_.attempts().cancelling(id, connection.number());
 }
 
 // The protocol gives up at once and without an answer.
@@ -324,8 +328,8 @@
 void Platform::carry_out(const core::CloseLink& effect) {
   const auto found = streams_.find(effect.link);
   if (found == streams_.end()) return;
-  give_up(effect.link, found->second);
   const auto connection = found->second.connection;
+  give_up(effect.link, found->second);
   if (!found->second.sent) connection->table().release(found->second.id);
   streams_.erase(found);
   connection->leave(now());
