--- a/tests/module_test.cpp
+++ b/tests/module_test.cpp
@@ -179,16 +179,21 @@
 }
 
 // Guards against an engine that takes work and answers nothing: its work is cut and repeated elsewhere.
+std::vector<RequestId> ask_until_three_are_at(Desk& desk, EngineId engine) {
+  std::vector<RequestId> there;
+  for (RequestId id = 1; there.size() < 3; ++id) {
+    desk.request(id);
+    if (desk.engine_of(id) == engine) there.push_back(id);
+  }
+  return there;
+}
+
 // Two errors in a row eject an engine; those of the process that ran there before it restarted do not.
 TEST(Health, AnEarlierProcessSpeaksNotAgainstTheOneThatRunsNow) {
   for (const bool restarted : {false, true}) {
     Desk desk(small_site());
     desk.fleet({engine(1), engine(2)});
-    std::vector<RequestId> at_first;
-    for (RequestId id = 1; at_first.size() < 3; ++id) {
-      desk.request(id);
-      if (desk.engine_of(id) == 1) at_first.push_back(id);
-    }
+    const std::vector<RequestId> at_first = ask_until_three_are_at(desk, 1);
     if (restarted) desk.fleet({engine(1, EngineState::ready, desk.now())}, FleetScope::delta);
     for (const RequestId id : at_first) desk.end(id, Result::reset);
     EXPECT_EQ(desk.logged("engine 1 shunned"), !restarted);
@@ -199,11 +204,7 @@
 TEST(Health, AnEngineThatWasGoneIsAnotherProcessWhenItIsReadyAgain) {
   Desk desk(small_site());
   desk.fleet({engine(1), engine(2)});
-  std::vector<RequestId> at_first;
-  for (RequestId id = 1; at_first.size() < 3; ++id) {
-    desk.request(id);
-    if (desk.engine_of(id) == 1) at_first.push_back(id);
-  }
+  const std::vector<RequestId> at_first = ask_until_three_are_at(desk, 1);
   desk.fleet({engine(1, EngineState::gone)}, FleetScope::delta);
   desk.fleet({engine(1)}, FleetScope::delta);
   for (const RequestId id : at_first) desk.end(id, Result::reset);
