Send nothing that was decided before the process was stopped and resumed

Cause: the clock is read, the frame is built, and the process is stopped before the system call that sends it. A frame of which a part was sent before the stop was completed after it.

Evidence: call_faults can stop the process exactly before a call now (stop:MS; send_request, send_cancel and send_probe name calls by their frame; sendmsg and close are covered).

Fix: a handler of SIGCONT, which runs before any other instruction of a resumed process, counts the resumes and empties the message that is about to be sent; the kernel reads its length from memory. The count is read before the facts are looked up and compared once the message is described, so bytes go out only where no stop lies between look and copy. The frame is built anew then, or withdrawn; one that is partly sent and can't be completed in time is given up with its connection. The log's threads block signals, so that the handler runs on the loop's.

--- a/src/observe/log.cpp
+++ b/src/observe/log.cpp
@@ -1,5 +1,6 @@
 #include "log.hpp"
 
+#include <signal.h>
 #include <spdlog/pattern_formatter.h>
 #include <spdlog/sinks/stdout_sinks.h>
 
@@ -16,6 +17,23 @@
 
 double milliseconds(Duration duration) { return static_cast<double>(duration.count()) * 1e-6; }
 
+/// While it lives, threads that are started inherit a mask that blocks every signal: handlers run on the
+/// event loop's thread alone.
+class BlockSignals {
+ public:
+  BlockSignals() {
+    sigset_t all;
+    sigfillset(&all);
+    ::pthread_sigmask(SIG_BLOCK, &all, &previous_);
+  }
+  ~BlockSignals() { ::pthread_sigmask(SIG_SETMASK, &previous_, nullptr); }
+  BlockSignals(const BlockSignals&) = delete;
+  BlockSignals& operator=(const BlockSignals&) = delete;
+
+ private:
+  sigset_t previous_{};
+};
+
 std::string_view outcome_of(const core::AttemptAccount& attempt) {
   return attempt.result ? name_of(*attempt.result) : "out";
 }
@@ -94,7 +112,10 @@
   } else {
     sink = std::make_shared<FileSink>(config.file, config.max_bytes, config.files);
   }
-  pool_ = std::make_shared<spdlog::details::thread_pool>(max_queued_lines, 1);
+  {
+    const BlockSignals block;
+    pool_ = std::make_shared<spdlog::details::thread_pool>(max_queued_lines, 1);
+  }
   logger_ = std::make_shared<spdlog::async_logger>(manager_, sink, pool_,
                                                    spdlog::async_overflow_policy::overrun_oldest);
   logger_->set_error_handler([](const std::string&) {});  // a full disk: nothing to say it to
@@ -115,6 +136,7 @@
   logger_->set_level(spdlog::level::off);
   auto written = std::make_shared<std::promise<void>>();
   auto done = written->get_future();
+  const BlockSignals block;
   try {
     std::thread([pool = std::exchange(pool_, nullptr), logger = logger_, written]() mutable {
       logger->flush();
--- a/src/platform/engine_connection.cpp
+++ b/src/platform/engine_connection.cpp
@@ -100,6 +100,7 @@
     case IoStatus::ended:
       lose(core::ChannelLossReason::closed, "receive: " + received.error.message());
       break;
+    case IoStatus::outdated:
     case IoStatus::would_block:
     case IoStatus::retry_later: break;
   }
@@ -146,10 +147,9 @@
 
 // ---- Writing ----
 
-core::WriteResult EngineConnection::send(core::ChannelId channel, core::StreamId stream, std::string frame,
-                                         TimePoint built_at) {
+core::WriteResult EngineConnection::send(core::ChannelId channel, core::StreamId stream, StreamFrame frame) {
   if (has_send_failed_) return core::WriteResult::failed;
-  queue_.push({channel, stream, false, std::move(frame), built_at});
+  queue_.push({channel, stream, false, std::move(frame)});
   if (is_write_loop_running_) return core::WriteResult::partial;
   channel_in_send_ = channel;
   const IoStatus status = write_pending();
@@ -166,11 +166,11 @@
 }
 
 void EngineConnection::send_command(core::StreamId stream, std::string frame) {
-  push_command({0, stream, false, std::move(frame), host_.now()});
+  push_command({0, stream, false, {std::move(frame), host_.now(), service::ResumeMonitor::count()}});
 }
 
 void EngineConnection::send_cancel(core::StreamId stream, std::string frame) {
-  push_command({0, stream, true, std::move(frame), host_.now()});
+  push_command({0, stream, true, {std::move(frame), host_.now(), service::ResumeMonitor::count()}});
 }
 
 void EngineConnection::push_command(FrameQueue::Frame frame) {
@@ -192,21 +192,21 @@
   return sent_bytes_ - socket_.unsent_bytes() >= end->second;
 }
 
-// Makes the first frame ready to be sent; false where none is. A frame that has waited is built anew: its
-// deadline would grant the engine time that its client does not have any more.
-bool EngineConnection::prepare_next_frame() {
+// Makes the first frame ready to be sent; false where none is. A frame that has waited, or was built before
+// the process was stopped and resumed, is built anew: its deadline would grant the engine time that its
+// client does not have any more, and the client may have gone.
+bool EngineConnection::prepare_next_frame(service::ResumeCount facts_as_of) {
   while (!is_closed_ && !queue_.is_empty()) {
+    if (queue_.is_front_started()) return !lose_overdue_partial_frame();
     const FrameQueue::Frame& frame = queue_.front();
-    const TimePoint now = host_.now();
-    if (queue_.is_front_started() || frame.channel == 0 || now - frame.built_at <= core::longest_frame_wait)
-      return true;
+    const bool has_waited = host_.now() - frame.content.built_at > core::longest_frame_wait;
+    if (frame.channel == 0 || (!has_waited && frame.content.facts_as_of == facts_as_of)) return true;
     const core::ChannelId channel = frame.channel;
     auto rebuilt = listener_.rebuild_frame(channel);
     // Rebuilding reads clients' input, which may have changed the queue.
     if (is_closed_ || queue_.is_empty() || queue_.front().channel != channel) continue;
     if (rebuilt) {
-      queue_.front().bytes = std::move(*rebuilt);
-      queue_.front().built_at = now;
+      queue_.front().content = std::move(*rebuilt);
       return true;
     }
     withdraw_front(channel);
@@ -226,10 +226,13 @@
 // Writes until nothing is pending (progress), or no more can be written now, or never again. A frame whose
 // first byte is sent after its send() has returned is reported to the core.
 IoStatus EngineConnection::write_pending() {
-  while (prepare_next_frame()) {
+  for (;;) {
+    const service::ResumeCount facts_as_of = service::ResumeMonitor::count();
+    if (!prepare_next_frame(facts_as_of)) break;
     const bool is_first_byte = !queue_.is_front_started();
     const core::ChannelId channel = queue_.front().channel;
-    const IoResult sent = socket_.send(queue_.unsent());
+    const IoResult sent = socket_.send_unless_resumed(queue_.unsent(), facts_as_of);
+    if (sent.status == IoStatus::outdated) continue;
     if (sent.status != IoStatus::progress) {
       send_error_ = sent.error;
       return sent.status;
@@ -254,7 +257,14 @@
 
 bool EngineConnection::is_partial_frame_overdue() {
   if (queue_.is_empty() || !queue_.is_front_started() || queue_.front().channel == 0) return false;
-  return host_.now() - queue_.front().built_at > core::longest_partial_frame;
+  return host_.now() - queue_.front().content.built_at > core::longest_partial_frame;
+}
+
+// Its attempt would begin later than its deadline assumes: the engine must never get the remaining bytes.
+bool EngineConnection::lose_overdue_partial_frame() {
+  if (!is_partial_frame_overdue()) return false;
+  lose(core::ChannelLossReason::closed, "a request could not be written whole in time");
+  return true;
 }
 
 asio::awaitable<void> EngineConnection::write_loop() {
@@ -263,10 +273,6 @@
   while (!is_closed_) {
     co_await socket_.wait_to_send(last);
     if (is_closed_ || has_send_failed_) co_return;
-    if (is_partial_frame_overdue()) {
-      lose(core::ChannelLossReason::closed, "a request could not be written whole in time");
-      co_return;
-    }
     last = write_pending();
     if (is_closed_) co_return;
     if (last == IoStatus::ended) {
--- a/src/platform/engine_connection.hpp
+++ b/src/platform/engine_connection.hpp
@@ -71,11 +71,9 @@
   void add_stream() { ++stream_count_; }
   void remove_stream(TimePoint now);
 
-  /// Sends the frame that opens a stream, which was built at `built_at`. The result speaks of its first byte:
-  /// `complete` says that this was sent, `partial` that the frame waits behind others and can still be
-  /// withdrawn.
-  core::WriteResult send(core::ChannelId channel, core::StreamId stream, std::string frame,
-                         TimePoint built_at);
+  /// Sends the frame that opens a stream. The result speaks of its first byte: `complete` says that this was
+  /// sent, `partial` that the frame waits behind others and can still be withdrawn.
+  core::WriteResult send(core::ChannelId channel, core::StreamId stream, StreamFrame frame);
   /// Sends a command about an open stream; it is dropped unsent where the stream ends before.
   void send_command(core::StreamId stream, std::string frame);
   /// Sends the last command about a stream, to which engines send no answer. See is_cancel_transmitted().
@@ -98,13 +96,14 @@
   std::optional<ProtocolError> process_frame(engine_frames::Frame frame);
 
   void push_command(FrameQueue::Frame frame);
-  bool prepare_next_frame();
+  bool prepare_next_frame(service::ResumeCount facts_as_of);
   void withdraw_front(core::ChannelId channel);
   service::IoStatus write_pending();
   void note_sent(std::size_t bytes);
   void start_write_loop();
   boost::asio::awaitable<void> write_loop();
   [[nodiscard]] bool is_partial_frame_overdue();
+  bool lose_overdue_partial_frame();
 
   void fail_sending(const boost::system::error_code& error);
   boost::asio::awaitable<void> read_remaining_and_lose(std::string description);
--- a/src/platform/engine_connection_listener.hpp
+++ b/src/platform/engine_connection_listener.hpp
@@ -9,11 +9,19 @@
 #include "core/types.hpp"
 #include "protocol/engine_frames/frames.hpp"
 #include "protocol_error.hpp"
+#include "service/resume_monitor.hpp"
 
 namespace paddlestand::platform {
 
 class EngineConnection;
 
+/// The frame that opens a stream, and when the facts hold that it was built on.
+struct StreamFrame {
+  std::string bytes;
+  TimePoint built_at{};  ///< its deadline is as of this time
+  service::ResumeCount facts_as_of = 0;  ///< read before the facts were looked up
+};
+
 /// Implemented by the owner of the connections. All calls come from the event loop's thread.
 class EngineConnectionListener {
  public:
@@ -38,7 +46,7 @@
                                   const engine_frames::Answer& answer) = 0;
   /// The frame that opens a stream, built now with its deadline as of now; nothing where it must not be sent
   /// any more.
-  virtual std::optional<std::string> rebuild_frame(core::ChannelId channel) = 0;
+  virtual std::optional<StreamFrame> rebuild_frame(core::ChannelId channel) = 0;
 
  protected:
   EngineConnectionListener() = default;
--- a/src/platform/engine_dispatch.cpp
+++ b/src/platform/engine_dispatch.cpp
@@ -123,10 +123,11 @@
   return frame;
 }
 
-std::optional<std::string> EngineDispatch::rebuild_frame(core::ChannelId channel) {
+std::optional<StreamFrame> EngineDispatch::rebuild_frame(core::ChannelId channel) {
+  const service::ResumeCount facts_as_of = service::ResumeMonitor::count();
   EngineStream* stream = find(channel);
   if (stream == nullptr) return std::nullopt;
-  if (stream->is_probe()) return probe_frame(*stream);
+  if (stream->is_probe()) return StreamFrame{probe_frame(*stream), host_.now(), facts_as_of};
   const bool may_dispatch = requests_.may_dispatch(stream->query);
   stream = find(channel);  // reading the client's input may have changed the table
   if (stream == nullptr) return std::nullopt;
@@ -136,7 +137,8 @@
     return std::nullopt;
   }
   stream->last_progress = host_.now();
-  return request_frame(*stream, *request, stream->last_progress);
+  return StreamFrame{request_frame(*stream, *request, stream->last_progress), stream->last_progress,
+                     facts_as_of};
 }
 
 // No byte of its frame was sent, and none will be.
@@ -147,6 +149,7 @@
 }
 
 core::WriteResult EngineDispatch::send(const core::SendQuery& action) {
+  const service::ResumeCount facts_as_of = service::ResumeMonitor::count();
   if (!requests_.may_dispatch(action.query)) {
     if (host_.is_tracing()) {
       host_.log().info(observe::LogEvent::send_suppressed,
@@ -163,11 +166,12 @@
     host_.count(core::Violation::stream_id_used_twice, {Field::trace, observe::HexId{stream->id}});
     return core::WriteResult::suppressed;
   }
-  return send_attempt(action, *stream, *request);
+  return send_attempt(action, *stream, *request, facts_as_of);
 }
 
 core::WriteResult EngineDispatch::send_attempt(const core::SendQuery& action, EngineStream& stream,
-                                               const ClientRequest& request) {
+                                               const ClientRequest& request,
+                                               service::ResumeCount facts_as_of) {
   stream.query = action.query;
   stream.memory_mb = action.memory_mb;
   stream.priority = action.priority;
@@ -176,8 +180,8 @@
   std::string frame = request_frame(stream, request, stream.last_progress);
   if (host_.is_tracing()) log_sent(action, stream);
   connections_.attempts().began(stream.id, stream.connection->number());
-  const core::WriteResult result =
-      stream.connection->send(action.channel, stream.id, std::move(frame), stream.last_progress);
+  const core::WriteResult result = stream.connection->send(
+      action.channel, stream.id, {std::move(frame), stream.last_progress, facts_as_of});
   if (result == core::WriteResult::failed) {
     stream.is_sent = false;
     connections_.attempts().ended(stream.id, stream.connection->number());
@@ -205,7 +209,7 @@
 
 // Checks the decision to send against the facts once the bytes were sent.
 void EngineDispatch::check_sent_attempt(const EngineStream& stream, const ClientRequest& request) {
-  if (!stream.is_sent) return;
+  if (!stream.is_sent || stream.connection->is_closed()) return;
   if (request.abandoned || !request.client->is_open())
     host_.count(core::Violation::begun_after_client_left, {Field::trace, observe::HexId{stream.id}});
   if (host_.now() - stream.last_progress > deadline_tolerance)
@@ -219,8 +223,9 @@
     return core::WriteResult::suppressed;
   stream->is_sent = true;
   stream->last_progress = host_.now();
-  const core::WriteResult result =
-      stream->connection->send(action.channel, stream->id, probe_frame(*stream), stream->last_progress);
+  const core::WriteResult result = stream->connection->send(
+      action.channel, stream->id,
+      {probe_frame(*stream), stream->last_progress, service::ResumeMonitor::count()});
   if (result == core::WriteResult::failed) stream->is_sent = false;
   return result;
 }
--- a/src/platform/engine_dispatch.hpp
+++ b/src/platform/engine_dispatch.hpp
@@ -63,7 +63,7 @@
   std::optional<ProtocolError> on_answer(EngineConnection& connection, core::ChannelId channel,
                                          engine_frames::Answer answer) override;
   void on_unmatched_frame(const EngineConnection& connection, const engine_frames::Answer& answer) override;
-  std::optional<std::string> rebuild_frame(core::ChannelId channel) override;
+  std::optional<StreamFrame> rebuild_frame(core::ChannelId channel) override;
 
   [[nodiscard]] EngineStream* find(core::ChannelId channel);
 
@@ -76,7 +76,7 @@
 
   // Sending.
   core::WriteResult send_attempt(const core::SendQuery& action, EngineStream& stream,
-                                 const ClientRequest& request);
+                                 const ClientRequest& request, service::ResumeCount facts_as_of);
   bool may_begin_attempt(std::uint64_t trace);
   void check_sent_attempt(const EngineStream& stream, const ClientRequest& request);
   void abandon_unsent(EngineStream& stream);
--- a/src/platform/frame_queue.hpp
+++ b/src/platform/frame_queue.hpp
@@ -8,6 +8,7 @@
 #include <string_view>
 
 #include "core/stream_table.hpp"
+#include "engine_connection_listener.hpp"
 
 namespace paddlestand::platform {
 
@@ -18,8 +19,7 @@
     core::ChannelId channel{};  ///< of a request or a probe; zero: a command about a stream that was opened
     core::StreamId stream{};
     bool is_cancel = false;  ///< a command that ends its stream for the engine
-    std::string bytes;
-    TimePoint built_at{};  ///< its deadline is as of this time
+    StreamFrame content;
   };
   enum class WithdrawResult : std::uint8_t {
     not_queued,  ///< it was sent completely, or was never here
@@ -34,7 +34,7 @@
   [[nodiscard]] bool is_front_started() const { return sent_bytes_ > 0; }
   /// The bytes of the first frame that were not sent.
   [[nodiscard]] std::string_view unsent() const {
-    return std::string_view(frames_.front().bytes).substr(sent_bytes_);
+    return std::string_view(frames_.front().content.bytes).substr(sent_bytes_);
   }
   /// Drops the first frame, of which nothing was sent.
   void drop_front() { frames_.pop_front(); }
@@ -42,7 +42,7 @@
   /// So many further bytes of the first frame were sent. Once it is complete it is removed, and returned.
   std::optional<Frame> consume(std::size_t bytes) {
     sent_bytes_ += bytes;
-    if (sent_bytes_ < frames_.front().bytes.size()) return std::nullopt;
+    if (sent_bytes_ < frames_.front().content.bytes.size()) return std::nullopt;
     Frame complete = std::move(frames_.front());
     frames_.pop_front();
     sent_bytes_ = 0;
--- a/src/service/client_session.cpp
+++ b/src/service/client_session.cpp
@@ -133,6 +133,7 @@
       // A client may shut down its sending side and still wait for its answers: PostgreSQL's clients don't,
       // and a query nobody waits for must not occupy an engine.
     case IoStatus::ended: close(); break;
+    case IoStatus::outdated:
     case IoStatus::would_block:
     case IoStatus::retry_later: break;
   }
--- a/src/service/signals.cpp
+++ b/src/service/signals.cpp
@@ -3,6 +3,8 @@
 #include <atomic>
 #include <csignal>
 
+#include "resume_monitor.hpp"
+
 namespace paddlestand::service {
 namespace {
 
@@ -29,6 +31,7 @@
   sigemptyset(&action.sa_mask);
   for (const int signal : {SIGTERM, SIGINT, SIGHUP}) ::sigaction(signal, &action, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
+  ResumeMonitor::install();
 }
 
 PendingSignals::Received PendingSignals::consume() {
--- a/src/service/signals.hpp
+++ b/src/service/signals.hpp
@@ -1,5 +1,6 @@
 /// SIGTERM, SIGINT and SIGHUP, recorded until the loop polls them. The handler makes no call that could fail
-/// and needs no descriptor: a signal is never lost, however often and however early it arrives.
+/// and needs no descriptor: a signal is never lost, however often and however early it arrives. SIGCONT is
+/// resume_monitor.hpp's.
 #pragma once
 
 #include <cstdint>
@@ -8,7 +9,8 @@
 
 class PendingSignals {
  public:
-  /// Installs the process's handlers. SIGPIPE is ignored: a log that nobody reads must not end the process.
+  /// Installs the process's handlers, also that of SIGCONT. SIGPIPE is ignored: a log that nobody reads must
+  /// not end the process.
   static void install();
 
   struct Received {
--- a/src/service/socket_calls.cpp
+++ b/src/service/socket_calls.cpp
@@ -11,6 +11,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <cerrno>
 
+#include "resume_monitor.hpp"
+
 namespace paddlestand::service {
 namespace asio = boost::asio;
 using boost::system::error_code;
@@ -72,6 +74,10 @@
                 [&] { return ::send(socket, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT); });
 }
 
+IoResult send_message(int socket, const msghdr& message) {
+  return repeat(SystemCall::send, [&] { return ::sendmsg(socket, &message, MSG_NOSIGNAL | MSG_DONTWAIT); });
+}
+
 bool shut_down_sending(int socket) {
   return repeat(SystemCall::shut_down, [&] { return ::shutdown(socket, SHUT_WR); }).status != IoStatus::ended;
 }
@@ -151,6 +157,9 @@
 }
 IoResult StreamSocket::peek(std::span<char> into) { return service::peek(socket_.native_handle(), into); }
 IoResult StreamSocket::send(std::string_view bytes) { return service::send(socket_.native_handle(), bytes); }
+IoResult StreamSocket::send_unless_resumed(std::string_view bytes, ResumeCount facts_as_of) {
+  return service::send_unless_resumed(socket_.native_handle(), bytes, facts_as_of);
+}
 bool StreamSocket::shut_down_sending() { return service::shut_down_sending(socket_.native_handle()); }
 
 asio::io_context& StreamSocket::io() {
--- a/src/service/socket_calls.hpp
+++ b/src/service/socket_calls.hpp
@@ -3,6 +3,8 @@
 /// them.
 #pragma once
 
+#include <sys/socket.h>
+
 #include <array>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -22,6 +24,7 @@
   would_block,  ///< nothing now: wait until the socket is ready
   retry_later,  ///< nothing now, and waiting for readiness would not help: wait for a moment
   end_of_input,  ///< receive: the peer shut its side down
+  outdated,  ///< nothing was sent: the process was resumed since the bytes were made (resume_monitor.hpp)
   ended  ///< the connection is broken; `error` says how
 };
 
@@ -38,6 +41,8 @@
 IoResult peek(int socket, std::span<char> into);
 /// Writes what fits into the socket's buffer.
 IoResult send(int socket, std::string_view bytes);
+/// As send(), for a message that is described in memory.
+IoResult send_message(int socket, const msghdr& message);
 /// Shuts down the sending side; the peer may still write. False where the connection is broken.
 bool shut_down_sending(int socket);
 /// The bytes written that have not left this machine, since the peer does not read; zero where the system
@@ -76,6 +81,8 @@
   IoResult receive(std::span<char> into);
   IoResult peek(std::span<char> into);
   IoResult send(std::string_view bytes);
+  /// Sends nothing where the process was resumed since `facts_as_of` (resume_monitor.hpp).
+  IoResult send_unless_resumed(std::string_view bytes, std::uint32_t facts_as_of);
   bool shut_down_sending();
   void close();
   /// Resets the connection: bytes that the peer has not read are dropped.
--- a/tests/faults/call_faults.cpp
+++ b/tests/faults/call_faults.cpp
@@ -6,11 +6,15 @@
 ///   PADDLESTAND_FAULT_SEED   a number
 ///   PADDLESTAND_FAULT_LOG    a file to which one line is appended for each connection that a rule breaks
 ///
-/// CALL is one of recv, send, accept, connect, socket, bind, listen, setsockopt, shutdown, epoll_wait, open,
-/// read, fwrite, fopen, wall. ERROR is an errno by name, or
+/// CALL is one of recv, send, accept, connect, socket, bind, listen, setsockopt, shutdown, close (of a stream
+/// socket), epoll_wait, open, read, fwrite, fopen, wall; or a send whose bytes begin with a frame to an
+/// engine: send_request, send_cancel, send_probe. ERROR is an errno by name, or
 ///   short           recv, send, read: at most three bytes are requested
 ///   broken:ERRNO    recv, send: the connection first ends for both sides, as a broken one does
 ///   offset:SECONDS  wall: the clock is offset by so much while the rule holds
+///   stop:MS         the process is stopped (SIGSTOP) just before the call, and resumed so much later; the
+///   call
+///                   is then made, or fails by a further rule
 #ifndef _GNU_SOURCE
 #define _GNU_SOURCE
 #endif
@@ -18,10 +22,13 @@
 #include <dlfcn.h>
 #include <fcntl.h>
 #include <netinet/in.h>
+#include <signal.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
+#include <sys/syscall.h>
 #include <sys/uio.h>
+#include <sys/wait.h>
 #include <time.h>
 #include <unistd.h>
 
@@ -43,7 +50,8 @@
   error,  // the call fails
   short_transfer,  // the call transfers few bytes
   broken_connection,  // the call's connection ends, and the call fails
-  wall_clock_offset
+  wall_clock_offset,
+  stopped_process  // the process is stopped before the call
 };
 
 struct Rule {
@@ -55,6 +63,7 @@
   double from = 0;
   double until = 1e18;
   double offset_s = 0;  // of the wall clock
+  long stop_ms = 0;  // for which the process is stopped
 };
 
 struct ErrorName {
@@ -113,6 +122,9 @@
   } else if (effect.rfind("offset:", 0) == 0) {
     rule.effect = Effect::wall_clock_offset;
     rule.offset_s = std::strtod(effect.c_str() + 7, nullptr);
+  } else if (effect.rfind("stop:", 0) == 0) {
+    rule.effect = Effect::stopped_process;
+    rule.stop_ms = std::strtol(effect.c_str() + 5, nullptr, 10);
   } else {
     rule.error_number = error_number_of(effect);
   }
@@ -220,11 +232,40 @@
   int log_ = -1;  // descriptor; negative: none
 };
 
+/// Runs in a child process: resumes `stopped` after a while, and ends. It first closes the descriptors that
+/// it shares, or their connections would outlive the stopped process's close.
+[[noreturn]] void resume_later(pid_t stopped, long stop_ms) {
+  ::syscall(SYS_close_range, 0U, ~0U, 0U);
+  timespec remaining{stop_ms / 1000, stop_ms % 1000 * 1'000'000};
+  while (::nanosleep(&remaining, &remaining) != 0) {}
+  ::kill(stopped, SIGCONT);
+  ::_exit(0);
+}
+
+/// Stops this process. It is resumed by a grandchild, for which no SIGCHLD and no zombie is left.
+void stop_process(long stop_ms) {
+  const pid_t self = ::getpid();
+  const pid_t child = ::fork();
+  if (child < 0) return;
+  if (child == 0) {
+    if (::fork() == 0) resume_later(self, stop_ms);
+    ::_exit(0);
+  }
+  while (::waitpid(child, nullptr, 0) < 0 && errno == EINTR) {}
+  ::kill(self, SIGSTOP);
+}
+
 /// Whether the call is to fail, with errno set. `size` is lowered for a short transfer; null: the call has
 /// none.
 bool fails(const char* call, int socket, std::size_t* size) {
   const Rule* rule = Faults::instance().draw(call);
   if (rule == nullptr) return false;
+  if (rule->effect == Effect::stopped_process) {
+    const int error_number = errno;
+    stop_process(rule->stop_ms);
+    errno = error_number;
+    return false;
+  }
   if (rule->effect == Effect::short_transfer) {
     if (size != nullptr && *size > short_transfer_size) *size = short_transfer_size;
     return false;
@@ -234,6 +275,28 @@
   return true;
 }
 
+/// The name that rules have for a send which begins with a frame to an engine; null: it begins with none.
+const char* frame_send_name(const void* bytes, std::size_t size) {
+  constexpr unsigned char frame_mark = 128;
+  if (size < 2) return nullptr;
+  const auto* begin = static_cast<const unsigned char*>(bytes);
+  if (begin[0] != frame_mark) return nullptr;
+  switch (begin[1]) {
+    case 1: return "send_request";
+    case 2: return "send_cancel";
+    case 3:
+    case 4: return "send_probe";
+    default: return nullptr;
+  }
+}
+
+/// As fails(), for a call that sends: also by the rules for frames, which may not lower `size`.
+bool send_fails(int socket, const void* bytes, std::size_t size, std::size_t* shortened_size) {
+  const char* frame_name = frame_send_name(bytes, size);
+  if (frame_name != nullptr && fails(frame_name, socket, nullptr)) return true;
+  return fails("send", socket, shortened_size);
+}
+
 }  // namespace
 
 extern "C" {
@@ -252,14 +315,26 @@
 
 ssize_t send(int socket, const void* bytes, std::size_t size, int flags) {
   static const auto next = real<ssize_t (*)(int, const void*, std::size_t, int)>("send");
-  if (fails("send", socket, &size)) return -1;
+  if (send_fails(socket, bytes, size, &size)) return -1;
   return next(socket, bytes, size, flags);
 }
 
 ssize_t sendmsg(int socket, const msghdr* message, int flags) {
   static const auto next = real<ssize_t (*)(int, const msghdr*, int)>("sendmsg");
-  if (fails("send", socket, nullptr)) return -1;
-  return next(socket, message, flags);
+  if (message->msg_iovlen != 1) {
+    if (fails("send", socket, nullptr)) return -1;
+    return next(socket, message, flags);
+  }
+  // A short transfer is made with a copy of the description. Otherwise the caller's own is passed on: a
+  // signal handler of the caller may change it until the kernel reads it.
+  const iovec& part = message->msg_iov[0];
+  std::size_t size = part.iov_len;
+  if (send_fails(socket, part.iov_base, size, &size)) return -1;
+  if (size >= part.iov_len) return next(socket, message, flags);
+  iovec short_part{part.iov_base, size};
+  msghdr short_message = *message;
+  short_message.msg_iov = &short_part;
+  return next(socket, &short_message, flags);
 }
 
 int accept(int socket, sockaddr* address, socklen_t* size) {
@@ -310,6 +385,17 @@
   return next(socket, how);
 }
 
+int close(int file) {
+  static const auto next = real<int (*)(int)>("close");
+  int type = 0;
+  socklen_t size = sizeof(type);
+  const int error_number = errno;
+  const bool is_stream = ::getsockopt(file, SOL_SOCKET, SO_TYPE, &type, &size) == 0 && type == SOCK_STREAM;
+  errno = error_number;
+  if (is_stream && fails("close", file, nullptr)) return -1;
+  return next(file);
+}
+
 int epoll_wait(int epoll, epoll_event* events, int most, int wait_ms) {
   static const auto next = real<int (*)(int, epoll_event*, int, int)>("epoll_wait");
   if (fails("epoll_wait", -1, nullptr)) return -1;
--- /dev/null
+++ b/tests/incidents/interrupted_send_test.cpp
@@ -0,0 +1,108 @@
+/// Incident: the manager's process is stopped between the decision to send an attempt and the system call
+/// that sends it (docs/incidents/038-stopped-before-a-send.md). Here it is stopped exactly there, by
+/// call_faults.
+#include <thread>
+
+#include "incident_test.hpp"
+
+namespace paddlestand::platform::test {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::uint64_t first_trace = 0x7800000000000000;
+constexpr int requested_client_timeout_ms = 3000;
+constexpr int slack_ms = 150;  // that an engine may be granted beyond its client's time
+constexpr auto shortest_interruption = 240ms;  // of a stop for 250 ms
+constexpr auto faults_begin_at = 1500ms;  // since the manager's start; the good record is established by then
+
+class InterruptedManager : public IncidentTest {
+ protected:
+  explicit InterruptedManager(const std::string& call_faults)
+      : IncidentTest(1, {.call_faults = call_faults}) {}
+
+  void SetUp() override {
+    IncidentTest::SetUp();
+    open_connections();
+    sleep_until(faults_begin_at);
+  }
+
+  std::uint64_t next_trace() { return ++last_trace_; }
+
+  /// Serves requests sent at `requested_at`, and checks the time granted to the engine against the client's.
+  OnFrame check_deadlines(Clock::time_point requested_at) {
+    return [this, requested_at](CountingEngine& engine, Connection& connection,
+                                const engine_frames::Frame& frame) {
+      if (is(frame, engine_frames::Command::request)) {
+        const auto granted_ms =
+            engine_frames::count_in(engine_frames::field(frame.fields, "ms").value_or(""));
+        const auto waited =
+            std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - requested_at);
+        EXPECT_LE(granted_ms.value_or(requested_client_timeout_ms),
+                  requested_client_timeout_ms - waited.count() + slack_ms)
+            << "waited " << waited.count() << " ms";
+      }
+      serve_request(engine, connection, frame);
+    };
+  }
+
+  /// Sends so many requests together, again and again, until so many of these rounds were interrupted.
+  void expect_correct_deadlines(int requests, int wanted_interruptions) {
+    constexpr int max_rounds = 60;
+    int interruptions = 0;
+    for (int round = 0; round < max_rounds && interruptions < wanted_interruptions; ++round) {
+      std::string lines;
+      for (int i = 0; i < requests; ++i) {
+        lines +=
+            RawClient::request_line(next_number(), next_trace(), "report", "", requested_client_timeout_ms);
+      }
+      const auto requested_at = Clock::now();
+      ASSERT_TRUE(client().wire().write(lines));
+      for (int i = 0; i < requests; ++i) {
+        ASSERT_EQ(outcome_while(client(), check_deadlines(requested_at)), "served:a\tb\tc\n")
+            << manager().log();
+      }
+      if (Clock::now() - requested_at > shortest_interruption) ++interruptions;
+    }
+    EXPECT_EQ(interruptions, wanted_interruptions) << "rounds that were interrupted";
+    EXPECT_EQ(manager().count_logged("violation"), 0U) << manager().log();
+  }
+
+ private:
+  /// From here on a connection for each of some requests is open, and requests are forwarded at once.
+  void open_connections() {
+    constexpr int requests = 20;
+    for (int i = 0; i < requests; ++i) client().send_request(next_number(), next_trace());
+    for (int i = 0; i < requests; ++i) ASSERT_EQ(outcome_while(client(), serve_request), "served:a\tb\tc\n");
+  }
+
+  std::uint64_t last_trace_ = first_trace;
+};
+
+class StoppedBeforeARequest : public InterruptedManager {
+ protected:
+  StoppedBeforeARequest() : InterruptedManager("send_request stop:250 0.2 1.5 1e9") {}
+  explicit StoppedBeforeARequest(const std::string& call_faults) : InterruptedManager(call_faults) {}
+};
+
+// Guards against a deadline from before the stop.
+TEST_F(StoppedBeforeARequest, GrantsAnEngineNoMoreThanTheClientsTime) { expect_correct_deadlines(1, 5); }
+
+class StoppedWithinATurn : public StoppedBeforeARequest {
+ protected:
+  StoppedWithinATurn() : StoppedBeforeARequest("send_request stop:250 0.05 1.5 1e9") {}
+};
+
+// Guards against the same for requests that were read together and wait for each other.
+TEST_F(StoppedWithinATurn, GrantsAnEngineNoMoreThanTheClientsTime) { expect_correct_deadlines(20, 5); }
+
+class StoppedInsideAFrame : public InterruptedManager {
+ protected:
+  StoppedInsideAFrame() : InterruptedManager("send stop:250 0.01 1.5 1e9; send short 0.9 1.5 1e9") {}
+};
+
+// Guards against a frame of which a part was sent before the stop, and the rest after it.
+TEST_F(StoppedInsideAFrame, GrantsAnEngineNoMoreThanTheClientsTime) { expect_correct_deadlines(1, 5); }
+
+}  // namespace
+}  // namespace paddlestand::platform::test
