Read a client's connection also while one of its own messages is handled

Cause: before an attempt goes out, a client that was not read for 20 ms is read again. From within the handling of the client's own messages, where most attempts begin, that read returned at once and the client counted as present. After a stop of the process it was not.

Evidence: three new tests close or cancel while the manager is stopped before the send of an attempt.

Fix: input is read and checked there too. The connection's end and cancellations are acted on at once; other messages are kept in order (PendingMessages) and acted on after the present one, with the time at which they arrived. Requests that wait count as open where a connection might be ended.

--- a/src/platform/client.cpp
+++ b/src/platform/client.cpp
@@ -6,7 +6,6 @@
 #include <set>
 
 #include "client_registry.hpp"
-#include "message_batch.hpp"
 #include "platform_host.hpp"
 #include "request_handler.hpp"
 #include "server_lifecycle.hpp"
@@ -60,6 +59,7 @@
   socket_.close();
   std::map<std::int64_t, core::SessionId> open;
   open.swap(open_requests_);
+  pending_messages_.clear();
   for (const auto& [id, session] : open) context_.requests.abandon(session);
   context_.registry.remove(*this);
 }
@@ -72,7 +72,9 @@
 }
 
 core::CloseFacts Client::close_facts() {
-  return {open_requests_.size(), unwritten_bytes(), !may_have_input(), partial_message_since_.has_value()};
+  const std::size_t pending_requests = pending_messages_.is_empty() ? 0 : 1;
+  return {open_requests_.size() + pending_requests, unwritten_bytes(), !may_have_input(),
+          partial_message_since_.has_value()};
 }
 
 // A request that has arrived already is read and answered first; dropped, it would have no answer.
@@ -128,7 +130,7 @@
 }
 
 void Client::read_pending_input() {
-  if (is_closed() || is_processing_input_) return;
+  if (is_closed() || is_reading_) return;
   const auto self = shared_from_this();
   read_input();
 }
@@ -138,9 +140,9 @@
 Client::InputStatus Client::read_input() {
   const TimePoint began = host_.now();
   std::size_t received_bytes = 0;
-  is_processing_input_ = true;
+  is_reading_ = true;
   const IoResult last = receive_available(received_bytes);
-  is_processing_input_ = false;
+  is_reading_ = false;
   if (is_closed()) return InputStatus::ended;
   last_receive_ = last.status;
   if (last.status == IoStatus::end_of_input || last.status == IoStatus::ended) {
@@ -151,7 +153,8 @@
   note_delay(last.status, began);
   if (received_bytes == 0) return InputStatus::drained;
   last_received_ = host_.now();
-  if (is_open()) process_received_lines();
+  if (is_open()) accept_received_lines();
+  process_pending_messages();
   if (is_closed()) return InputStatus::ended;
   return last.status == IoStatus::progress ? InputStatus::more_available : InputStatus::drained;
 }
@@ -206,12 +209,25 @@
                                     now - *partial_message_since_ > partial_message_timeout);
 }
 
-void Client::process_received_lines() {
+void Client::accept_received_lines() {
   auto messages = complete_messages();
   note_partial_message(!messages.empty());
-  is_processing_input_ = true;
-  process(std::move(messages));
-  is_processing_input_ = false;
+  is_reading_ = true;  // examining messages reads other clients, and so might come back here
+  accept(std::move(messages));
+  is_reading_ = false;
+}
+
+// The loop stands once on the stack: input that is read while it acts on a message is left to it.
+void Client::process_pending_messages() {
+  if (is_processing_messages_ || pending_messages_.is_empty()) return;
+  is_processing_messages_ = true;
+  while (is_open()) {
+    auto next = pending_messages_.pop();
+    if (!next) break;
+    process(std::move(*next));
+  }
+  is_processing_messages_ = false;
+  flush();
 }
 
 std::vector<jsonrpc::Message> Client::complete_messages() {
@@ -236,10 +252,11 @@
     load.open_requests.emplace(id, context_.requests.trace_of(session).value_or(0));
   load.last_id = last_id_;
   load.unwritten_answers = output_.unwritten_answers();
+  pending_messages_.add_to(load);
   return BatchValidator(context_.requests, std::move(load)).find_problem(messages);
 }
 
-void Client::process(std::vector<jsonrpc::Message> messages) {
+void Client::accept(std::vector<jsonrpc::Message> messages) {
   if (messages.empty()) return;
   last_used_ = host_.now();
   if (const auto problem = find_problem(messages)) {
@@ -247,29 +264,39 @@
     return;
   }
   has_sent_message_ = true;
-  for (const jsonrpc::Query& query : extract_cancelled(messages)) {
-    last_id_ = std::max(last_id_, query.id);
+  for (jsonrpc::Message& message : messages) {
+    const auto* cancellation = std::get_if<jsonrpc::CancelRequest>(&message);
+    if (cancellation != nullptr) withdraw_pending(*cancellation);
+    if (const auto* query = std::get_if<jsonrpc::Query>(&message)) last_id_ = std::max(last_id_, query->id);
+    if (cancellation != nullptr && is_processing_messages_) {
+      process(*cancellation);  // an attempt of what it names may be about to begin
+    } else {
+      pending_messages_.push(std::move(message), input_time_);
+    }
+  }
+}
+
+void Client::withdraw_pending(const jsonrpc::CancelRequest& cancellation) {
+  for (const jsonrpc::Query& query : pending_messages_.extract(cancellation)) {
     jsonrpc::put_error(output_.text(), query.id, jsonrpc::Code::refused, "taken back before it was asked");
     output_.append_finished(LineKind::notice);
   }
-  for (jsonrpc::Message& message : messages) {
-    if (!is_open()) return;
-    if (auto* query = std::get_if<jsonrpc::Query>(&message)) {
-      process(std::move(*query));
-    } else if (const auto* cancellation = std::get_if<jsonrpc::CancelRequest>(&message)) {
-      process(*cancellation);
-    } else if (const auto* health_check = std::get_if<jsonrpc::HealthCheck>(&message)) {
-      process(*health_check);
-    }
+}
+
+void Client::process(PendingMessages::Entry entry) {
+  if (auto* query = std::get_if<jsonrpc::Query>(&entry.message)) {
+    process(std::move(*query), entry.received);
+  } else if (const auto* cancellation = std::get_if<jsonrpc::CancelRequest>(&entry.message)) {
+    process(*cancellation);
+  } else if (const auto* health_check = std::get_if<jsonrpc::HealthCheck>(&entry.message)) {
+    process(*health_check);
   }
-  flush();
 }
 
-void Client::process(jsonrpc::Query query) {
-  last_id_ = std::max(last_id_, query.id);
+void Client::process(jsonrpc::Query query, TimePoint received) {
   const core::SessionId session = context_.requests.next_session();
   open_requests_.emplace(query.id, session);
-  context_.requests.submit(shared_from_this(), session, std::move(query));
+  context_.requests.submit(shared_from_this(), session, std::move(query), received);
 }
 
 void Client::process(const jsonrpc::CancelRequest& cancellation) {
@@ -310,6 +337,8 @@
     put_error(id, jsonrpc::Code::failed, "the connection ends: " + problem.text);
     context_.requests.abandon(session);
   }
+  for (const jsonrpc::Query& query : pending_messages_.extract_all())
+    put_error(query.id, jsonrpc::Code::refused, "the connection ends: " + problem.text);
   for (const jsonrpc::Message& message : messages) {
     if (const auto* query = std::get_if<jsonrpc::Query>(&message))
       put_error(query->id, jsonrpc::Code::refused, "the connection ends: " + problem.text);
--- a/src/platform/client.hpp
+++ b/src/platform/client.hpp
@@ -14,6 +14,7 @@
 
 #include "core/connection_policy.hpp"
 #include "core/types.hpp"
+#include "message_batch.hpp"
 #include "output_buffer.hpp"
 #include "protocol/jsonrpc/calls.hpp"
 #include "service/socket_calls.hpp"
@@ -55,8 +56,8 @@
   /// Input that is here is read first.
   void finish_if_idle();
   /// Reads the input that is here, a bounded amount, and acts on it: so that nothing is begun for a client
-  /// that has disconnected, and no connection ends over a request. Has no effect from within the handling of
-  /// its own messages.
+  /// that has disconnected, and no connection ends over a request. From within the handling of one of its
+  /// messages, its end and its cancellations are acted on at once, other messages after that message.
   void read_pending_input();
   /// Ends the connection where one of its time limits has passed.
   void check_timeouts(TimePoint now);
@@ -65,17 +66,16 @@
 
   [[nodiscard]] std::uint64_t number() const { return number_; }
   [[nodiscard]] bool is_open() const { return phase_ == Phase::open; }
-  /// Whether no request is open and no output is pending.
-  [[nodiscard]] bool is_idle() const { return open_requests_.empty() && output_.is_empty(); }
+  /// Whether no request is open, or about to be, and no output is pending.
+  [[nodiscard]] bool is_idle() const {
+    return open_requests_.empty() && pending_messages_.is_empty() && output_.is_empty();
+  }
   /// Whether this side was shut down and the client's close is awaited.
   [[nodiscard]] bool is_lingering() const { return phase_ == Phase::lingering; }
   /// Whether input waits to be read, or that can't be known just now.
   [[nodiscard]] bool may_have_input();
   /// Whether it ever sent a valid message.
   [[nodiscard]] bool has_sent_message() const { return has_sent_message_; }
-  /// When the input that is being acted on may have arrived at the earliest: accepting, reading and the event
-  /// loop may each have been late. The time of acting would miss a stall in between.
-  [[nodiscard]] TimePoint input_time() const { return input_time_; }
   /// When its input was last read to the end.
   [[nodiscard]] TimePoint input_drained_at() const { return input_drained_at_; }
   /// When a message was last read or an answer written.
@@ -99,13 +99,16 @@
   service::IoResult receive_available(std::size_t& received_bytes);
   void note_delay(service::IoStatus last_status, TimePoint read_began);
   void note_partial_message(bool completed_messages);
-  void process_received_lines();
+  void accept_received_lines();
+  void process_pending_messages();
   void drop_input(std::size_t bytes);
   std::vector<jsonrpc::Message> complete_messages();
   [[nodiscard]] std::optional<jsonrpc::Problem> find_problem(
       const std::vector<jsonrpc::Message>& messages) const;
-  void process(std::vector<jsonrpc::Message> messages);
-  void process(jsonrpc::Query query);
+  void accept(std::vector<jsonrpc::Message> messages);
+  void withdraw_pending(const jsonrpc::CancelRequest& cancellation);
+  void process(PendingMessages::Entry entry);
+  void process(jsonrpc::Query query, TimePoint received);
   void process(const jsonrpc::CancelRequest& cancellation);
   void process(const jsonrpc::HealthCheck& health_check);
   void reject(const std::vector<jsonrpc::Message>& messages, const jsonrpc::Problem& problem);
@@ -128,6 +131,7 @@
   jsonrpc::LineCutter lines_;
   std::map<std::int64_t, core::SessionId> open_requests_;  // by the client's number; 32 at most
   std::int64_t last_id_ = 0;  // the highest number that was used
+  PendingMessages pending_messages_;
   OutputBuffer output_;
   std::size_t dropped_bytes_ = 0;  // received after its end was decided
   TimePoint last_received_{};
@@ -135,6 +139,8 @@
   TimePoint last_write_progress_{};
   TimePoint ending_since_{};
   TimePoint input_drained_at_{};
+  // When the input read last may have arrived at the earliest: accepting, reading and the event loop may each
+  // have been late. The time of acting on it would miss a stall in between.
   TimePoint input_time_{};
   std::optional<TimePoint> partial_message_since_;
   std::optional<TimePoint> receive_failing_since_;
@@ -143,7 +149,8 @@
   service::IoStatus last_receive_ = service::IoStatus::would_block;
   bool has_sent_message_ = false;
   bool is_write_loop_running_ = false;
-  bool is_processing_input_ = false;
+  bool is_reading_ = false;
+  bool is_processing_messages_ = false;
 };
 
 }  // namespace paddlestand::platform
--- a/src/platform/message_batch.cpp
+++ b/src/platform/message_batch.cpp
@@ -33,32 +33,57 @@
   };
   if (query.id <= load_.last_id)
     return problem(jsonrpc::Code::invalid_request, "id; wanted: one that this connection has not used");
-  if (requests_.is_trace_open(query.trace) || !traces_.insert(query.trace).second)
+  if (requests_.is_trace_open(query.trace) || !load_.pending_traces.insert(query.trace).second)
     return problem(jsonrpc::Code::invalid_params, "trace; wanted: one that is not open");
   load_.open_requests.emplace(query.id, query.trace);
   // A client that sends further requests without reading its answers holds those too.
   if (load_.open_requests.size() + load_.unwritten_answers > max_open_requests)
     return problem(jsonrpc::Code::refused, "at most 32 requests are open at once");
-  statement_bytes_ += query.statement.size();
-  if (!requests_.has_capacity_for(statement_bytes_))
+  load_.pending_statement_bytes += query.statement.size();
+  if (!requests_.has_capacity_for(load_.pending_statement_bytes))
     return problem(jsonrpc::Code::refused, "no room for more statements");
   load_.last_id = query.id;
   return std::nullopt;
 }
 
-std::vector<jsonrpc::Query> extract_cancelled(std::vector<jsonrpc::Message>& messages) {
+void PendingMessages::push(jsonrpc::Message message, TimePoint received) {
+  entries_.push_back({std::move(message), received});
+}
+
+std::optional<PendingMessages::Entry> PendingMessages::pop() {
+  if (entries_.empty()) return std::nullopt;
+  Entry first = std::move(entries_.front());
+  entries_.pop_front();
+  return first;
+}
+
+std::vector<jsonrpc::Query> PendingMessages::extract(const jsonrpc::CancelRequest& cancellation) {
   std::vector<jsonrpc::Query> cancelled;
-  for (std::size_t i = 0; i < messages.size(); ++i) {
-    const auto* cancellation = std::get_if<jsonrpc::CancelRequest>(&messages[i]);
-    if (cancellation == nullptr) continue;
-    for (std::size_t earlier = 0; earlier < i; ++earlier) {
-      auto* query = std::get_if<jsonrpc::Query>(&messages[earlier]);
-      if (query == nullptr || !cancellation->means(query->id, query->trace)) continue;
-      cancelled.push_back(std::move(*query));
-      messages[earlier] = jsonrpc::CancelRequest{};  // of nothing
-    }
-  }
+  std::erase_if(entries_, [&](Entry& entry) {
+    auto* query = std::get_if<jsonrpc::Query>(&entry.message);
+    if (query == nullptr || !cancellation.means(query->id, query->trace)) return false;
+    cancelled.push_back(std::move(*query));
+    return true;
+  });
   return cancelled;
 }
 
+std::vector<jsonrpc::Query> PendingMessages::extract_all() {
+  std::vector<jsonrpc::Query> queries;
+  for (Entry& entry : entries_)
+    if (auto* query = std::get_if<jsonrpc::Query>(&entry.message)) queries.push_back(std::move(*query));
+  entries_.clear();
+  return queries;
+}
+
+void PendingMessages::add_to(ConnectionLoad& load) const {
+  for (const Entry& entry : entries_) {
+    const auto* query = std::get_if<jsonrpc::Query>(&entry.message);
+    if (query == nullptr) continue;
+    load.open_requests.emplace(query->id, query->trace);
+    load.pending_traces.insert(query->trace);
+    load.pending_statement_bytes += query->statement.size();
+  }
+}
+
 }  // namespace paddlestand::platform
--- a/src/platform/message_batch.hpp
+++ b/src/platform/message_batch.hpp
@@ -4,11 +4,13 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
 #include <vector>
 
+#include "paddlestand/workload_manager.hpp"
 #include "protocol/jsonrpc/calls.hpp"
 
 namespace paddlestand::platform {
@@ -18,8 +20,10 @@
 /// What the connection of a batch already holds.
 struct ConnectionLoad {
   std::map<std::int64_t, std::uint64_t> open_requests;  ///< number and trace id
+  std::set<std::uint64_t> pending_traces;  ///< of requests that were read and not acted on yet
   std::int64_t last_id = 0;  ///< the highest number that was used
   std::size_t unwritten_answers = 0;
+  std::size_t pending_statement_bytes = 0;  ///< of requests that were read and not acted on yet
 };
 
 /// Checks the requests of a batch against each other and against what is open already.
@@ -38,12 +42,32 @@
 
   RequestHandler& requests_;
   ConnectionLoad load_;
-  std::size_t statement_bytes_ = 0;  // of the batch
-  std::set<std::uint64_t> traces_;  // of the batch
 };
 
-/// Removes the queries that a later message of the same batch cancels, and returns them; the cancellations
-/// stay, without effect.
-[[nodiscard]] std::vector<jsonrpc::Query> extract_cancelled(std::vector<jsonrpc::Message>& messages);
+/// The messages of one client that were read and are not acted on yet, in the order of their arrival. More
+/// may be read while one of them is acted on.
+class PendingMessages {
+ public:
+  struct Entry {
+    jsonrpc::Message message;
+    TimePoint received{};  ///< when it may have arrived at the earliest
+  };
+
+  void push(jsonrpc::Message message, TimePoint received);
+  /// The oldest one, which is removed; or nothing.
+  std::optional<Entry> pop();
+  /// Removes and returns the queries that a later message cancels.
+  std::vector<jsonrpc::Query> extract(const jsonrpc::CancelRequest& cancellation);
+  /// Removes and returns all queries; other messages are dropped.
+  std::vector<jsonrpc::Query> extract_all();
+  void clear() { entries_.clear(); }
+
+  [[nodiscard]] bool is_empty() const { return entries_.empty(); }
+  /// Adds its queries to what the connection holds.
+  void add_to(ConnectionLoad& load) const;
+
+ private:
+  std::deque<Entry> entries_;
+};
 
 }  // namespace paddlestand::platform
--- a/src/platform/request_handler.cpp
+++ b/src/platform/request_handler.cpp
@@ -31,13 +31,13 @@
 }  // namespace
 
 void RequestHandler::submit(const std::shared_ptr<Client>& client, core::SessionId session,
-                            jsonrpc::Query query) {
+                            jsonrpc::Query query, TimePoint received) {
   ClientRequest request;
   request.client = client;
   request.id = query.id;
   request.trace = query.trace;
   request.class_index = query.class_index;
-  request.deadline = client->input_time() + query.client_timeout;
+  request.deadline = received + query.client_timeout;
   request.token = std::move(query.idempotency_key);
   core::QueryArrived arrived;
   arrived.session = session;
--- a/src/platform/request_handler.hpp
+++ b/src/platform/request_handler.hpp
@@ -27,8 +27,10 @@
 
   /// A session number that was never used.
   [[nodiscard]] core::SessionId next_session() { return ++last_session_; }
-  /// Hands a client's query to the core as the query of `session`, which has the same number.
-  void submit(const std::shared_ptr<Client>& client, core::SessionId session, jsonrpc::Query query);
+  /// Hands a client's query to the core as the query of `session`, which has the same number. `received`:
+  /// when it may have arrived at the earliest.
+  void submit(const std::shared_ptr<Client>& client, core::SessionId session, jsonrpc::Query query,
+              TimePoint received);
   /// Its client waits no longer: the request gets no answer.
   void abandon(core::SessionId session);
   /// Whether a client that is still there has a request with this trace id open. Reads that client's input
--- a/tests/incidents/interrupted_send_test.cpp
+++ b/tests/incidents/interrupted_send_test.cpp
@@ -68,6 +68,24 @@
     EXPECT_EQ(manager().count_logged("violation"), 0U) << manager().log();
   }
 
+  /// Serves the engine until the manager is stopped. False: it was not, or not for long enough to act.
+  bool serve_until_stopped(RawClient& client) {
+    const auto end = Clock::now() + 300ms;
+    while (Clock::now() < end && client.outcome(1) == "nothing") {
+      if (manager().is_stopped()) return true;
+      engine().poll(
+          [&](Connection& connection, const auto& frame) { serve_request(engine(), connection, frame); });
+    }
+    return false;
+  }
+  void serve_for(Duration time) {
+    const auto end = Clock::now() + time;
+    while (Clock::now() < end) {
+      engine().poll(
+          [&](Connection& connection, const auto& frame) { serve_request(engine(), connection, frame); });
+    }
+  }
+
  private:
   /// From here on a connection for each of some requests is open, and requests are forwarded at once.
   void open_connections() {
@@ -83,6 +101,46 @@
  protected:
   StoppedBeforeARequest() : InterruptedManager("send_request stop:250 0.2 1.5 1e9") {}
   explicit StoppedBeforeARequest(const std::string& call_faults) : InterruptedManager(call_faults) {}
+
+  using Leave = std::function<void(RawClient&, const std::vector<std::uint64_t>& traces)>;
+
+  /// Sends requests together, each time on a new connection. Where the manager is then stopped, their client
+  /// leaves: no further one of them may begin.
+  void expect_nothing_begun_after(std::size_t requests, const Leave& leave) {
+    constexpr int max_rounds = 100;
+    constexpr int wanted_interruptions = 5;
+    int interruptions = 0;
+    for (int round = 0; round < max_rounds && interruptions < wanted_interruptions; ++round) {
+      RawClient leaving_client(manager().port());
+      const std::vector<std::uint64_t> traces = send_together(leaving_client, requests);
+      if (!serve_until_stopped(leaving_client)) continue;
+      serve_for(20ms);  // what had begun before the stop
+      const std::size_t begun_before = count_begun(traces);
+      leave(leaving_client, traces);
+      if (!manager().is_stopped()) continue;
+      if (begun_before < requests) ++interruptions;
+      serve_for(600ms);
+      EXPECT_EQ(count_begun(traces), begun_before) << "begun in all\n" << manager().log();
+    }
+    EXPECT_EQ(interruptions, wanted_interruptions) << "clients that left during a stop";
+  }
+
+ private:
+  std::vector<std::uint64_t> send_together(RawClient& client, std::size_t requests) {
+    std::vector<std::uint64_t> traces;
+    std::string lines;
+    for (std::size_t i = 0; i < requests; ++i) {
+      traces.push_back(next_trace());
+      lines += RawClient::request_line(static_cast<int>(traces.size()), traces.back());
+    }
+    EXPECT_TRUE(client.wire().write(lines));
+    return traces;
+  }
+  std::size_t count_begun(const std::vector<std::uint64_t>& traces) {
+    std::size_t begun = 0;
+    for (const std::uint64_t trace : traces) begun += engine().attempts_started(trace);
+    return begun;
+  }
 };
 
 // Guards against a deadline from before the stop.
@@ -96,6 +154,25 @@
 // Guards against the same for requests that were read together and wait for each other.
 TEST_F(StoppedWithinATurn, GrantsAnEngineNoMoreThanTheClientsTime) { expect_correct_deadlines(20, 5); }
 
+// Guards against an attempt for a client that closed its connection during the stop.
+TEST_F(StoppedBeforeARequest, BeginsNothingForAClientThatHasClosed) {
+  expect_nothing_begun_after(1, [](RawClient& client, const auto&) { client.wire().close(); });
+}
+
+// Guards against the same for the other requests of one read.
+TEST_F(StoppedBeforeARequest, BeginsNothingForAClientThatHasClosedWithSeveralRequestsOpen) {
+  expect_nothing_begun_after(8, [](RawClient& client, const auto&) { client.wire().close(); });
+}
+
+// Guards against an attempt of a request that was cancelled during the stop.
+TEST_F(StoppedBeforeARequest, BeginsNothingThatWasCancelled) {
+  expect_nothing_begun_after(8, [](RawClient& client, const auto& traces) {
+    std::string lines;
+    for (const std::uint64_t trace : traces) lines += cancel_line(trace);
+    EXPECT_TRUE(client.wire().write(lines));
+  });
+}
+
 class StoppedInsideAFrame : public InterruptedManager {
  protected:
   StoppedInsideAFrame() : InterruptedManager("send stop:250 0.01 1.5 1e9; send short 0.9 1.5 1e9") {}
--- a/tests/platform/manager_process.hpp
+++ b/tests/platform/manager_process.hpp
@@ -94,6 +94,13 @@
   /// The process does not run until resume().
   void stop() { ::kill(process_.id(), SIGSTOP); }
   void resume() { ::kill(process_.id(), SIGCONT); }
+  /// Whether it is stopped, by stop() or by itself.
+  [[nodiscard]] bool is_stopped() const {
+    std::ifstream in("/proc/" + std::to_string(process_.id()) + "/stat");
+    std::string field;
+    for (int i = 0; i < 3; ++i) in >> field;  // process id, name, state
+    return field == "T";
+  }
   [[nodiscard]] std::string log() const {
     std::ifstream in(folder_ / "log");
     return {std::istreambuf_iterator<char>(in), {}};
