Read the discovery channel before an attempt is sent after a stop or a lag

Cause: after a stop, what arrived meanwhile is handled in the order of its arrival. Requests that came before the drain were sent before its event was read; and an attempt whose engine had been chosen before the stop was sent after it.

Fix: core::must_read_endpoint_events decides, from the last read of the discovery channel, the loop's lag and whether the process was resumed, that the channel is read first. What is read takes effect at once: an engine that drains or is gone gets no attempt.

--- a/src/core/connection_policy.cpp
+++ b/src/core/connection_policy.cpp
@@ -10,6 +10,9 @@
 /// it.
 constexpr Duration client_read_validity = std::chrono::milliseconds(20);
 
+/// The same for the list of engines while the event loop lags: without a lag, events are read as they arrive.
+constexpr Duration endpoint_list_validity = std::chrono::milliseconds(20);
+
 bool is_shortage(int error_number) {
   switch (error_number) {
     case EMFILE:
@@ -80,6 +83,12 @@
   return DispatchDecision::dispatch;
 }
 
+bool must_read_endpoint_events(const EndpointListFacts& facts) {
+  if (facts.was_resumed) return true;
+  return facts.event_loop_lag > endpoint_list_validity &&
+         facts.since_events_were_read > endpoint_list_validity;
+}
+
 CloseDecision may_close(const CloseFacts& facts) {
   if (facts.open_requests > 0) return CloseDecision::owes_answers;
   if (facts.unsent_bytes > 0) return CloseDecision::has_unsent_answers;
--- a/src/core/connection_policy.hpp
+++ b/src/core/connection_policy.hpp
@@ -61,6 +61,17 @@
 /// Whether the first byte of an attempt may be sent now.
 [[nodiscard]] DispatchDecision may_dispatch(const DispatchFacts& facts);
 
+/// How old the list of engines may be, as far as this manager can know.
+struct EndpointListFacts {
+  Duration since_events_were_read{};  ///< since the discovery channel was last read until it had no more
+  Duration event_loop_lag{};
+  bool was_resumed = false;  ///< since then the process was stopped and resumed
+};
+
+/// Whether the discovery channel must be read before an attempt is sent: an engine may have begun to drain
+/// while this process did not run, and its event may wait behind the requests that arrived meanwhile.
+[[nodiscard]] bool must_read_endpoint_events(const EndpointListFacts& facts);
+
 /// An attempt's deadline is encoded in its frame: a frame that has waited longer than this is encoded anew.
 inline constexpr Duration longest_frame_wait = std::chrono::milliseconds(20);
 /// A frame that is sent in part and not completed within this time is given up: its attempt would start later
--- a/src/platform/discovery_watch.cpp
+++ b/src/platform/discovery_watch.cpp
@@ -47,6 +47,8 @@
   bool is_timed_out = false;
   bool is_closed = false;
   bool has_received = false;  // an event or a heartbeat
+  bool is_subscribed = false;  // events may be read
+  std::optional<SubscriptionEnd> end;  // found while reading
 };
 
 DiscoveryWatch::DiscoveryWatch(asio::io_context& io, tcp::endpoint address, Hooks hooks)
@@ -147,23 +149,58 @@
 asio::awaitable<DiscoveryWatch::SubscriptionEnd> DiscoveryWatch::read_events(
     std::shared_ptr<Subscription> subscription) {
   using Cause = SubscriptionEnd::Cause;
-  std::array<char, 4096> buffer{};
   limit(subscription, silence_timeout);
+  subscription->is_subscribed = true;
   IoStatus last = IoStatus::would_block;
   for (;;) {
     co_await subscription->socket.wait_to_receive(last);
+    if (subscription->end) co_return std::move(*subscription->end);
     if (subscription->is_closed) co_return subscription->end_after_close("silent");
-    const IoResult received = subscription->socket.receive(buffer);
-    last = received.status;
-    if (last == IoStatus::end_of_input)
-      co_return SubscriptionEnd{Cause::disconnected, "it closed the connection"};
-    if (last == IoStatus::ended) co_return SubscriptionEnd{Cause::disconnected, received.error.message()};
-    if (last != IoStatus::progress) continue;
-    limit(subscription, silence_timeout);
-    subscription->reader.feed({buffer.data(), received.bytes});
-    if (auto end = process_events(*subscription)) co_return std::move(*end);
+    last = receive_events(*subscription);
+    if (subscription->end) co_return std::move(*subscription->end);
     if (subscription->is_closed) co_return SubscriptionEnd{Cause::closed_here, "left"};
+    if (last == IoStatus::progress) limit(subscription, silence_timeout);
+  }
+}
+
+// The end of the subscription that is found here is left for its coroutine.
+IoStatus DiscoveryWatch::receive_events(Subscription& subscription) {
+  using Cause = SubscriptionEnd::Cause;
+  std::array<char, 4096> buffer{};
+  const service::ResumeCount as_of = service::ResumeMonitor::count();
+  const TimePoint began = std::chrono::steady_clock::now().time_since_epoch();
+  const IoResult received = subscription.socket.receive(buffer);
+  switch (received.status) {
+    case IoStatus::progress:
+      subscription.reader.feed({buffer.data(), received.bytes});
+      subscription.end = process_events(subscription);
+      break;
+    case IoStatus::would_block:
+      drained_at_ = began;
+      drained_as_of_ = as_of;
+      break;
+    case IoStatus::end_of_input:
+      subscription.end = SubscriptionEnd{Cause::disconnected, "it closed the connection"};
+      break;
+    case IoStatus::ended:
+      subscription.end = SubscriptionEnd{Cause::disconnected, received.error.message()};
+      break;
+    case IoStatus::outdated:
+    case IoStatus::retry_later: break;
+  }
+  return received.status;
+}
+
+void DiscoveryWatch::read_pending() {
+  const auto subscription = subscription_;
+  if (!subscription || !subscription->is_subscribed) {
+    drained_at_ = std::chrono::steady_clock::now().time_since_epoch();
+    drained_as_of_ = service::ResumeMonitor::count();
+    return;
   }
+  while (!subscription->is_closed && !subscription->end &&
+         receive_events(*subscription) == IoStatus::progress) {}
+  if (subscription->end) subscription->close();  // its coroutine goes on
 }
 
 std::optional<DiscoveryWatch::SubscriptionEnd> DiscoveryWatch::process_events(Subscription& subscription) {
--- a/src/platform/discovery_watch.hpp
+++ b/src/platform/discovery_watch.hpp
@@ -13,6 +13,7 @@
 #include <string>
 
 #include "protocol/discovery/events.hpp"
+#include "service/resume_monitor.hpp"
 #include "service/socket_calls.hpp"
 
 namespace paddlestand::platform {
@@ -38,6 +39,14 @@
   /// Subscribes there from now on, at once, also where the address is the same.
   void move_to(tcp::endpoint address);
   void stop();
+  /// Reads the events that are here and applies them, where a subscription is open. May be called while an
+  /// event is being applied.
+  void read_pending();
+
+  /// When the channel was last read until it had no more, or could not be read for lack of a subscription.
+  [[nodiscard]] TimePoint drained_at() const { return drained_at_; }
+  /// ResumeMonitor's count from before that.
+  [[nodiscard]] service::ResumeCount drained_as_of() const { return drained_as_of_; }
 
  private:
   struct Subscription;
@@ -61,6 +70,7 @@
   boost::asio::awaitable<std::optional<SubscriptionEnd>> write_cursor(
       std::shared_ptr<Subscription> subscription);
   boost::asio::awaitable<SubscriptionEnd> read_events(std::shared_ptr<Subscription> subscription);
+  service::IoStatus receive_events(Subscription& subscription);
   std::optional<SubscriptionEnd> process_events(Subscription& subscription);
   void limit(const std::shared_ptr<Subscription>& subscription, Duration time);
 
@@ -69,6 +79,8 @@
   Hooks hooks_;
   std::shared_ptr<Subscription> subscription_;  // the present one
   boost::asio::steady_timer retry_timer_;
+  TimePoint drained_at_{};
+  service::ResumeCount drained_as_of_ = 0;
   bool is_stopped_ = false;
   bool is_moved_ = false;  // during the present subscription
 };
--- a/src/platform/endpoint_list.cpp
+++ b/src/platform/endpoint_list.cpp
@@ -12,8 +12,7 @@
   std::set<EngineId> listed;
   for (const discovery::Record& record : event.records) {
     const EngineId id = record.entry.engine;
-    const Engine current{
-        {record.address, record.port}, record.entry.started, record.entry.state == EngineState::removed};
+    const Engine current{{record.address, record.port}, record.entry.started, record.entry.state};
     const auto [known, is_new] = engines_.try_emplace(id, current);
     if (!is_new && !known->second.is_same_process_as(current)) ended_processes.push_back(id);
     known->second = current;
@@ -26,14 +25,14 @@
 
 void EndpointList::remove_unlisted(const std::set<EngineId>& listed, std::vector<EngineId>& ended_processes) {
   for (auto& [id, engine] : engines_) {
-    if (listed.contains(id) || engine.is_removed) continue;
-    engine.is_removed = true;
+    if (listed.contains(id) || engine.is_removed()) continue;
+    engine.state = EngineState::removed;
     ended_processes.push_back(id);
   }
 }
 
 void EndpointList::forget_removed() {
-  std::erase_if(engines_, [](const auto& entry) { return entry.second.is_removed; });
+  std::erase_if(engines_, [](const auto& entry) { return entry.second.is_removed(); });
 }
 
 std::optional<Address> EndpointList::address(EngineId engine) const {
@@ -42,4 +41,9 @@
   return found->second.address;
 }
 
+bool EndpointList::is_ready(EngineId engine) const {
+  const auto found = engines_.find(engine);
+  return found != engines_.end() && found->second.state == EngineState::ready;
+}
+
 }  // namespace paddlestand::platform
--- a/src/platform/endpoint_list.hpp
+++ b/src/platform/endpoint_list.hpp
@@ -31,15 +31,18 @@
   [[nodiscard]] std::uint64_t last() const { return last_event_; }
   /// Nothing where the engine is unknown.
   [[nodiscard]] std::optional<Address> address(EngineId engine) const;
+  /// Whether the engine is known, and neither draining nor removed.
+  [[nodiscard]] bool is_ready(EngineId engine) const;
   [[nodiscard]] std::size_t size() const { return engines_.size(); }
 
  private:
   struct Engine {
     Address address;
     TimePoint started{};
-    bool is_removed = false;
+    EngineState state{};
+    [[nodiscard]] bool is_removed() const { return state == EngineState::removed; }
     [[nodiscard]] bool is_same_process_as(const Engine& other) const {
-      return !is_removed && !other.is_removed && address == other.address && started == other.started;
+      return !is_removed() && !other.is_removed() && address == other.address && started == other.started;
     }
   };
 
--- a/src/platform/engine_dispatch.cpp
+++ b/src/platform/engine_dispatch.cpp
@@ -15,10 +15,12 @@
 }  // namespace
 
 EngineDispatch::EngineDispatch(PlatformHost& host, RequestHandler& requests, const EndpointList& endpoints,
-                               const PlatformConfig& config, std::size_t max_connections)
+                               RefreshEndpoints refresh_endpoints, const PlatformConfig& config,
+                               std::size_t max_connections)
     : host_(host),
       requests_(requests),
       endpoints_(endpoints),
+      refresh_endpoints_(std::move(refresh_endpoints)),
       config_(config),
       connections_(host, *this,
                    {config.streams_per_connection, max_connections, config.core.connect_timeout}) {}
@@ -128,11 +130,11 @@
   EngineStream* stream = find(channel);
   if (stream == nullptr) return std::nullopt;
   if (stream->is_probe()) return StreamFrame{probe_frame(*stream), host_.now(), facts_as_of};
-  const bool may_dispatch = requests_.may_dispatch(stream->query);
+  const bool is_allowed = may_dispatch(stream->query, stream->engine);
   stream = find(channel);  // reading the client's input may have changed the table
   if (stream == nullptr) return std::nullopt;
   const ClientRequest* const request = requests_.find(stream->query);
-  if (!may_dispatch || request == nullptr) {
+  if (!is_allowed || request == nullptr) {
     abandon_unsent(*stream);
     return std::nullopt;
   }
@@ -150,14 +152,10 @@
 
 core::WriteResult EngineDispatch::send(const core::SendQuery& action) {
   const service::ResumeCount facts_as_of = service::ResumeMonitor::count();
-  if (!requests_.may_dispatch(action.query)) {
-    if (host_.is_tracing()) {
-      host_.log().info(observe::LogEvent::send_suppressed,
-                       {{Field::query, action.query}, {Field::reason, "its client is gone, or its time"}});
-    }
-    return core::WriteResult::suppressed;
-  }
-  EngineStream* const stream = find(action.channel);
+  EngineStream* stream = find(action.channel);
+  if (stream == nullptr) return core::WriteResult::failed;
+  if (!may_dispatch(action.query, stream->engine)) return core::WriteResult::suppressed;
+  stream = find(action.channel);  // reading may have changed the table
   const ClientRequest* const request = requests_.find(action.query);
   if (stream == nullptr || request == nullptr) return core::WriteResult::failed;
   if (stream->connection->is_closed()) return core::WriteResult::failed;
@@ -190,6 +188,21 @@
   return result;
 }
 
+// Reads what may have arrived unread: the end of its client, and that the engine drains.
+bool EngineDispatch::may_dispatch(core::QueryId query, EngineId engine) {
+  refresh_endpoints_();
+  const char* reason = nullptr;
+  if (!endpoints_.is_ready(engine)) {
+    reason = "its engine drains";
+  } else if (!requests_.may_dispatch(query)) {
+    reason = "its client is gone, or its time";
+  }
+  if (reason != nullptr && host_.is_tracing()) {
+    host_.log().info(observe::LogEvent::send_suppressed, {{Field::query, query}, {Field::reason, reason}});
+  }
+  return reason == nullptr;
+}
+
 // For the core a cancelled attempt is over as soon as its cancel was written. Before the next attempt begins
 // that must hold for the engine too: where the cancel was not transmitted, closing the connection gives the
 // attempt up.
--- a/src/platform/engine_dispatch.hpp
+++ b/src/platform/engine_dispatch.hpp
@@ -2,6 +2,7 @@
 /// core become frames; frames of engines become events of the core.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -20,8 +21,12 @@
 /// Owns the streams and the connections to engines. Its arguments must outlive it.
 class EngineDispatch : private EngineConnectionListener {
  public:
+  /// Reads the events of the list of engines that are here, where the list may be old.
+  using RefreshEndpoints = std::function<void()>;
+
   EngineDispatch(PlatformHost& host, RequestHandler& requests, const EndpointList& endpoints,
-                 const PlatformConfig& config, std::size_t max_connections);
+                 RefreshEndpoints refresh_endpoints, const PlatformConfig& config,
+                 std::size_t max_connections);
 
   // ---- Actions of the core ----
 
@@ -77,6 +82,7 @@
   // Sending.
   core::WriteResult send_attempt(const core::SendQuery& action, EngineStream& stream,
                                  const ClientRequest& request, service::ResumeCount facts_as_of);
+  [[nodiscard]] bool may_dispatch(core::QueryId query, EngineId engine);
   bool may_begin_attempt(std::uint64_t trace);
   void check_sent_attempt(const EngineStream& stream, const ClientRequest& request);
   void abandon_unsent(EngineStream& stream);
@@ -106,6 +112,7 @@
   PlatformHost& host_;
   RequestHandler& requests_;
   const EndpointList& endpoints_;
+  RefreshEndpoints refresh_endpoints_;
   const PlatformConfig& config_;
   EngineConnections connections_;
   std::map<core::ChannelId, EngineStream> streams_;  // ordered: what follows from a loss has one order
--- a/src/platform/platform_server.cpp
+++ b/src/platform/platform_server.cpp
@@ -27,7 +27,9 @@
       calls_(config_.core.module.classes, config_.core.module.tenants),
       requests_(*this, config_.core.module.classes, limits_.max_buffered_bytes),
       clients_(*this, requests_, calls_, lifecycle_, limits_),
-      engines_(*this, requests_, endpoints_, config_, limits_.max_engine_connections),
+      engines_(
+          *this, requests_, endpoints_, [this] { refresh_endpoints(); }, config_,
+          limits_.max_engine_connections),
       listener_(
           io, [this](tcp::socket socket, Duration waited) { clients_.accept(std::move(socket), waited); },
           [this](const std::string& what) {
@@ -123,6 +125,14 @@
           }};
 }
 
+void PlatformServer::refresh_endpoints() {
+  core::EndpointListFacts facts;
+  facts.since_events_were_read = now() - discovery_.drained_at();
+  facts.event_loop_lag = event_loop_lag();
+  facts.was_resumed = discovery_.drained_as_of() != service::ResumeMonitor::count();
+  if (core::must_read_endpoint_events(facts)) discovery_.read_pending();
+}
+
 EndpointList::ApplyResult PlatformServer::apply(const discovery::Event& event) {
   core::EndpointsUpdated update;
   std::vector<EngineId> ended_processes;
--- a/src/platform/platform_server.hpp
+++ b/src/platform/platform_server.hpp
@@ -77,6 +77,7 @@
   using PlatformHost::execute;
 
   DiscoveryWatch::Hooks discovery_hooks();
+  void refresh_endpoints();
   EndpointList::ApplyResult apply(const discovery::Event& event);
   void log_engines(const discovery::Event& event, const core::EndpointsUpdated& update);
   void apply_reloaded(const PlatformConfig& config);
--- a/tests/core/connection_policy_test.cpp
+++ b/tests/core/connection_policy_test.cpp
@@ -66,6 +66,13 @@
   EXPECT_EQ(may_dispatch({false, 300ms, 1s, true}), DispatchDecision::client_gone);
 }
 
+TEST(Dispatch, EndpointEventsAreReadFirstAfterAStopOrALagOfTheLoop) {
+  EXPECT_FALSE(must_read_endpoint_events({5s, 1ms, false}));
+  EXPECT_FALSE(must_read_endpoint_events({1ms, 300ms, false}));
+  EXPECT_TRUE(must_read_endpoint_events({300ms, 300ms, false}));
+  EXPECT_TRUE(must_read_endpoint_events({1ms, 0ms, true}));
+}
+
 TEST(Close, OnlyAnIdleConnectionMayBeClosed) {
   EXPECT_EQ(may_close({0, 0, true, false}), CloseDecision::close);
   EXPECT_EQ(may_close({1, 0, true, false}), CloseDecision::owes_answers);
