Shut an idle client connection down only if no stop lies behind the last look for input

Cause: the connection is looked at for input, then shut down. A request that arrives while the process is stopped between the two can't be answered any more.

A shutdown that took effect before the stop is told by its result.

--- a/src/platform/client.cpp
+++ b/src/platform/client.cpp
@@ -9,6 +9,7 @@
 #include "platform_host.hpp"
 #include "request_handler.hpp"
 #include "server_lifecycle.hpp"
+#include "service/resume_monitor.hpp"
 #include "service/spawn.hpp"
 
 namespace paddlestand::platform {
@@ -77,11 +78,22 @@
           partial_message_since_.has_value()};
 }
 
-// A request that has arrived already is read and answered first; dropped, it would have no answer.
+// A request that has arrived already is read and answered first; dropped, it would have no answer. One may
+// also arrive while the process is stopped after the look: the connection is looked at again with the next
+// sweep.
 void Client::finish_if_idle() {
   if (!is_open()) return;
+  const service::ResumeCount facts_as_of = service::ResumeMonitor::count();
   if (may_have_input()) read_pending_input();
-  if (is_open() && core::may_close(close_facts()) == core::CloseDecision::close) finish();
+  if (!is_open() || core::may_close(close_facts()) != core::CloseDecision::close) return;
+  switch (socket_.shut_down_unless_resumed(facts_as_of)) {
+    case service::GuardedShutdown::done:
+      phase_ = Phase::lingering;
+      ending_since_ = host_.now();
+      break;
+    case service::GuardedShutdown::outdated: break;
+    case service::GuardedShutdown::broken: close("its connection is gone"); break;
+  }
 }
 
 // Closing over unread input resets the connection, and the last answer may be lost with it.
--- a/src/service/socket_calls.cpp
+++ b/src/service/socket_calls.cpp
@@ -78,8 +78,12 @@
   return repeat(SystemCall::send, [&] { return ::sendmsg(socket, &message, MSG_NOSIGNAL | MSG_DONTWAIT); });
 }
 
-bool shut_down_sending(int socket) {
-  return repeat(SystemCall::shut_down, [&] { return ::shutdown(socket, SHUT_WR); }).status != IoStatus::ended;
+int shut_down_sending(int socket) {
+  return repeat(SystemCall::shut_down, [&] { return ::shutdown(socket, SHUT_WR); }).error.value();
+}
+
+bool is_broken_by_shutdown(int error_number) {
+  return error_number != 0 && core::verdict_of(SystemCall::shut_down, error_number) == CallVerdict::ended;
 }
 
 std::size_t unsent_bytes(int socket) {
@@ -160,7 +164,12 @@
 IoResult StreamSocket::send_unless_resumed(std::string_view bytes, ResumeCount facts_as_of) {
   return service::send_unless_resumed(socket_.native_handle(), bytes, facts_as_of);
 }
-bool StreamSocket::shut_down_sending() { return service::shut_down_sending(socket_.native_handle()); }
+bool StreamSocket::shut_down_sending() {
+  return !is_broken_by_shutdown(service::shut_down_sending(socket_.native_handle()));
+}
+GuardedShutdown StreamSocket::shut_down_unless_resumed(ResumeCount facts_as_of) {
+  return service::shut_down_unless_resumed(socket_.native_handle(), facts_as_of);
+}
 
 asio::io_context& StreamSocket::io() {
   // The executor's context is the io_context that the socket was made with.
--- a/src/service/socket_calls.hpp
+++ b/src/service/socket_calls.hpp
@@ -28,6 +28,8 @@
   ended  ///< the connection is broken; `error` says how
 };
 
+enum class GuardedShutdown : std::uint8_t;
+
 /// The outcome of one call.
 struct IoResult {
   IoStatus status{};
@@ -43,8 +45,10 @@
 IoResult send(int socket, std::string_view bytes);
 /// As send(), for a message that is described in memory.
 IoResult send_message(int socket, const msghdr& message);
-/// Shuts down the sending side; the peer may still write. False where the connection is broken.
-bool shut_down_sending(int socket);
+/// Shuts down the sending side; the peer may still write. Returns the errno of a failure, or zero.
+int shut_down_sending(int socket);
+/// Whether this result of shut_down_sending() says that the connection is broken.
+bool is_broken_by_shutdown(int error_number);
 /// The bytes written that have not left this machine, since the peer does not read; zero where the system
 /// can't tell.
 std::size_t unsent_bytes(int socket);
@@ -83,7 +87,10 @@
   IoResult send(std::string_view bytes);
   /// Sends nothing where the process was resumed since `facts_as_of` (resume_monitor.hpp).
   IoResult send_unless_resumed(std::string_view bytes, std::uint32_t facts_as_of);
+  /// False where the connection is broken.
   bool shut_down_sending();
+  /// Does nothing where the process was resumed since `facts_as_of` (resume_monitor.hpp).
+  GuardedShutdown shut_down_unless_resumed(std::uint32_t facts_as_of);
   void close();
   /// Resets the connection: bytes that the peer has not read are dropped.
   void reset();
--- a/tests/platform/manager_process.hpp
+++ b/tests/platform/manager_process.hpp
@@ -93,6 +93,8 @@
   [[nodiscard]] std::uint16_t port() const { return port_; }
   /// The process does not run until resume().
   void stop() { ::kill(process_.id(), SIGSTOP); }
+  /// Asks it to shut down.
+  void terminate() { ::kill(process_.id(), SIGTERM); }
   void resume() { ::kill(process_.id(), SIGCONT); }
   /// Whether it is stopped, by stop() or by itself.
   [[nodiscard]] bool is_stopped() const {
