Count the time of a shutdown from the earliest moment of SIGTERM

What callers saw: a request that was open when the manager was told to end had no answer when SIGKILL came.

Cause: SIGTERM that arrives while the process is stopped is seen after the stop, and the time table of the shutdown counted from there. SIGKILL counts from the signal.

Fix: the time table counts from the last look for signals before the one that found SIGTERM.

--- a/src/platform/graceful_shutdown.cpp
+++ b/src/platform/graceful_shutdown.cpp
@@ -40,12 +40,12 @@
       idle_timer_(host.io()),
       stop_timer_(host.io()) {}
 
-void GracefulShutdown::begin() {
+void GracefulShutdown::begin(TimePoint earliest_signal) {
   if (lifecycle_.is_shutting_down()) return;
   lifecycle_.advance_to(ServerLifecycle::State::terminating);
   host_.log().info(observe::LogEvent::shutdown_started,
                    "requests are taken for a little longer, then what is held is answered");
-  const Duration until_kill = grace_period_ - sweep_period;  // the signal may have been seen so late
+  const Duration until_kill = std::max(earliest_signal + grace_period_ - host_.now(), Duration{0});
   const Duration until_answered = until_kill - std::min(answer_margin, until_kill / 4);
   const Duration until_refused = std::min(arrival_period, until_answered);
   run_after(refuse_timer_, until_refused, [this, time_for_answers = until_answered - until_refused] {
@@ -53,7 +53,7 @@
     // Requests that are open at SIGKILL would be lost; refused in time, they can go elsewhere.
     host_.dispatch(core::BeginShutdown{time_for_answers});
   });
-  run_after(idle_timer_, until_kill - frequent_sweep_margin,
+  run_after(idle_timer_, std::max(until_kill - frequent_sweep_margin, Duration{0}),
             [this] { service::spawn(host_.io(), end_idle_connections_often()); });
   run_after(stop_timer_, until_kill - std::min(exit_margin, until_kill / 8), [this] {
     end_idle_connections();
--- a/src/platform/graceful_shutdown.hpp
+++ b/src/platform/graceful_shutdown.hpp
@@ -23,8 +23,9 @@
   GracefulShutdown(PlatformHost& host, ServerLifecycle& lifecycle, service::Listener& listener,
                    ClientRegistry& clients, Duration grace_period);
 
-  /// Begins the shutdown of a server that was started; has no effect where one has begun.
-  void begin();
+  /// Begins the shutdown of a server that was started; has no effect where one has begun. `earliest_signal`:
+  /// when SIGTERM may have arrived at the earliest, which is what SIGKILL counts from.
+  void begin(TimePoint earliest_signal);
   /// The core holds no request any more.
   void on_requests_finished();
   /// Ends idle connections once the listener is closed, so that clients go elsewhere with their next request;
--- a/src/platform/platform_server.cpp
+++ b/src/platform/platform_server.cpp
@@ -49,6 +49,7 @@
   engine_starts_.first_list_ends();
   config_.known.clear();
   lifecycle_.advance_to(ServerLifecycle::State::serving);
+  signals_polled_at_ = now();
   service::spawn(io_, listener_.run());
   discovery_.start();
   service::spawn(io_, sweep_loop());
@@ -109,9 +110,11 @@
 }
 
 void PlatformServer::handle_signals() {
+  const TimePoint polled_at = now();
   const auto signals = service::PendingSignals::consume();
   if (signals.reload) reload();
   if (signals.terminate) begin_shutdown();
+  signals_polled_at_ = polled_at;
 }
 
 // ---- The list of engines ----
--- a/src/platform/platform_server.hpp
+++ b/src/platform/platform_server.hpp
@@ -38,7 +38,7 @@
   /// Reads the configuration again: known events and the address of the command channel are applied.
   void reload() { reloader_.reload(); }
   /// Begins a graceful shutdown, as SIGTERM does.
-  void begin_shutdown() { shutdown_.begin(); }
+  void begin_shutdown() { shutdown_.begin(signals_polled_at_); }
   /// Closes the listener once the connections that the system has accepted were handed over.
   void stop_accepting() { listener_.close_when_drained(); }
   /// Closes every connection, once the event loop has ended.
@@ -96,6 +96,7 @@
   DiscoveryWatch discovery_;
   ConfigReloader reloader_;
   GracefulShutdown shutdown_;
+  TimePoint signals_polled_at_{};  // a signal that is seen now arrived no earlier
 };
 
 }  // namespace paddlestand::platform
