Guarded calls: what is guarded belongs to the thread that makes the call

Cause: the guarded message and socket were one for the process, while tests run managers on threads of their own. Two of them at once would have sent each other's bytes; none was seen to.

Change: they are thread-local. The handler runs on the thread that it holds up, as before.

--- a/src/service/resume_monitor.cpp
+++ b/src/service/resume_monitor.cpp
@@ -17,15 +17,15 @@
 
 // The part that a guarded send transmits. Volatile: the handler changes its length at any moment, and the
 // kernel reads it behind the compiler's back.
-volatile iovec guarded_part{};
+thread_local volatile iovec guarded_part{};
 
 constexpr int no_descriptor = -1;
 // Not a socket, so that a shutdown of it fails. Without it shutdowns are not guarded.
 std::atomic<int> decoy{no_descriptor};
 // The socket that a guarded shutdown is about to end.
-std::atomic<int> guarded_socket{no_descriptor};
+thread_local std::atomic<int> guarded_socket{no_descriptor};
 // The guarded socket under another descriptor, while the decoy is in its place.
-std::atomic<int> displaced_socket{no_descriptor};
+thread_local std::atomic<int> displaced_socket{no_descriptor};
 
 // Its epoll registration stays: the open file lives on, and comes back under the same number.
 void displace_guarded_socket() {
--- a/src/service/resume_monitor.hpp
+++ b/src/service/resume_monitor.hpp
@@ -43,8 +43,7 @@
   broken  ///< the connection is broken
 };
 
-/// Shuts down the sending side of a socket, unless the process was resumed since `facts_as_of`. For one
-/// thread of the process.
+/// Shuts down the sending side of a socket, unless the process was resumed since `facts_as_of`.
 GuardedShutdown shut_down_unless_resumed(int socket, ResumeCount facts_as_of);
 
 }  // namespace paddlestand::service
