Count all of several stops as time that input has waited; fault profile "interrupted"

What callers saw: engines were granted 158 to 485 ms more than their clients had left.

Cause: input that is read after a stop of the process counts as having arrived before it, by how late the loop's timer was. A second stop in the same turns was counted alone, and a stop without a due timer not at all.

Evidence: the new fault profile stops managers just before their calls and at any time, with rolls, drains and clients that leave.

Fix: each look at the clock tells whether the process was resumed since the one before; stops within 50 ms of each other count as one (core::RecentStops). No input counts as older than the last time that its connection was found empty, which is counted from before the call.

--- a/src/platform/client.cpp
+++ b/src/platform/client.cpp
@@ -197,9 +197,10 @@
   const TimePoint now = host_.now();
   const Duration failing = receive_failing_since_ ? now - *receive_failing_since_ : Duration{};
   const Duration delay = std::max({host_.event_loop_lag(), failing, accept_delay_});
-  input_time_ = std::min(read_began, now - delay);
+  // It was not here yet when the connection was last read to the end.
+  input_time_ = std::max(std::min(read_began, now - delay), input_drained_at_);
   if (last_status == IoStatus::would_block) {
-    input_drained_at_ = now;
+    input_drained_at_ = read_began;  // the process may have been stopped since
     receive_failing_since_.reset();
     accept_delay_ = {};
   } else if (last_status == IoStatus::retry_later && !receive_failing_since_) {
--- a/src/service/dispatcher_host.cpp
+++ b/src/service/dispatcher_host.cpp
@@ -23,7 +23,13 @@
 
 DispatcherHost::DispatcherHost(boost::asio::io_context& io, const observe::LogConfig& log,
                                const std::string& name, const core::CoreSettings& core)
-    : io_(io), log_(log, name), dispatcher_(core, true), timer_(io), scratch_(scratch_bytes) {}
+    : io_(io),
+      log_(log, name),
+      dispatcher_(core, true),
+      timer_(io),
+      last_look_(steady_now()),
+      resumes_(ResumeMonitor::count()),
+      scratch_(scratch_bytes) {}
 
 void DispatcherHost::dispatch(core::CoreEvent event) {
   const bool first = !dispatcher_.is_dispatching();
@@ -31,14 +37,25 @@
   if (first) arm_timer();  // once a turn: what becomes due in its middle may not be due at its end
 }
 
-TimePoint DispatcherHost::now() { return steady_now(); }
+TimePoint DispatcherHost::now() {
+  ResumeCount resumes = 0;
+  TimePoint now{};
+  do {
+    resumes = ResumeMonitor::count();
+    now = steady_now();
+  } while (ResumeMonitor::count() != resumes);  // stopped between the two
+  if (resumes != resumes_) stops_.add(last_look_, now);
+  resumes_ = resumes;
+  last_look_ = now;
+  return now;
+}
 
 Duration DispatcherHost::event_loop_lag() {
-  const TimePoint now = steady_now();
+  const TimePoint now = this->now();
   // What arrived during a stall is read in the turns right after it, before or after the timer's own.
   const Duration recent = now - last_stall_at_ < stall_memory ? last_stall_ : Duration{};
   const Duration pending = armed_for_ ? now - *armed_for_ : Duration{};
-  return std::max({Duration{0}, recent, pending});
+  return std::max({Duration{0}, recent, pending, stops_.delay(now)});
 }
 
 void DispatcherHost::count(core::Violation violation, const observe::LogField& subject) {
@@ -68,9 +85,10 @@
 }
 
 void DispatcherHost::on_timer() {
-  if (armed_for_ && steady_now() - *armed_for_ > min_stall) {
-    last_stall_at_ = steady_now();
-    last_stall_ = last_stall_at_ - *armed_for_;
+  const TimePoint now = this->now();
+  if (armed_for_ && now - *armed_for_ > min_stall) {
+    last_stall_at_ = now;
+    last_stall_ = now - *armed_for_;
   }
   armed_for_.reset();
   dispatch(core::TimerExpired{});
--- a/src/service/dispatcher_host.hpp
+++ b/src/service/dispatcher_host.hpp
@@ -14,7 +14,9 @@
 #include "core/connection_policy.hpp"
 #include "core/engine_starts.hpp"
 #include "core/event_dispatcher.hpp"
+#include "core/recent_stops.hpp"
 #include "observe/log.hpp"
+#include "resume_monitor.hpp"
 #include "socket_calls.hpp"
 
 namespace paddlestand::service {
@@ -73,6 +75,9 @@
   std::optional<TimePoint> armed_for_;
   TimePoint last_stall_at_{};  // when the timer was last late
   Duration last_stall_{};  // and by how much
+  core::RecentStops stops_;
+  TimePoint last_look_{};  // at the clock
+  ResumeCount resumes_ = 0;  // as of the last look
   core::ViolationCounter violations_;
   std::vector<char> scratch_;
 };
--- a/tests/core/connection_policy_test.cpp
+++ b/tests/core/connection_policy_test.cpp
@@ -5,6 +5,8 @@
 
 #include <cerrno>
 
+#include "core/recent_stops.hpp"
+
 namespace paddlestand::core {
 namespace {
 
@@ -73,6 +75,26 @@
   EXPECT_TRUE(must_read_endpoint_events({1ms, 0ms, true}));
 }
 
+TEST(RecentStops, InputHasWaitedSinceTheFirstOfSeveralStopsInARow) {
+  RecentStops stops;
+  EXPECT_EQ(stops.delay(1s), 0s);
+
+  stops.add(10s, 10250ms);
+  stops.add(10260ms, 10510ms);
+
+  EXPECT_EQ(stops.delay(10520ms), 520ms);
+  EXPECT_EQ(stops.delay(10600ms), 0s);
+}
+
+TEST(RecentStops, AStopLongAfterAnotherOneIsCountedAlone) {
+  RecentStops stops;
+
+  stops.add(10s, 10250ms);
+  stops.add(11s, 11250ms);
+
+  EXPECT_EQ(stops.delay(11260ms), 260ms);
+}
+
 TEST(Close, OnlyAnIdleConnectionMayBeClosed) {
   EXPECT_EQ(may_close({0, 0, true, false}), CloseDecision::close);
   EXPECT_EQ(may_close({1, 0, true, false}), CloseDecision::owes_answers);
--- a/tests/faults/profiles.cpp
+++ b/tests/faults/profiles.cpp
@@ -151,15 +151,39 @@
   return profile;
 }
 
+/// Managers that are stopped just before calls that send, receive or end connections, and for a moment at any
+/// time.
+Profile interrupted(const std::string& name, std::mt19937_64&) {
+  Profile profile = call_faults_only(
+      name,
+      {"send_request stop:250 0.02; shutdown stop:250 0.1", "send stop:250 0.004; shutdown stop:250 0.1",
+       "send stop:200 0.003; recv stop:250 0.002; epoll_wait stop:250 0.001; send short 0.2"});
+  profile.clients_misbehave = true;
+  profile.managers_roll = true;
+  profile.managers_pause = true;
+  profile.engines_drain = true;
+  return profile;
+}
+
 struct NamedProfile {
   const char* name;
   Profile (*make)(const std::string& name, std::mt19937_64& random);
 };
 
 constexpr NamedProfile profiles[] = {
-    {"calm", calm},         {"receive", receive}, {"send", send},     {"start", start},
-    {"connect", connect},   {"accept", accept},   {"broken", broken}, {"clock", clock},
-    {"shutdown", shutdown}, {"late", late},       {"stall", stall},   {"soak", soak},
+    {"calm", calm},
+    {"receive", receive},
+    {"send", send},
+    {"start", start},
+    {"connect", connect},
+    {"accept", accept},
+    {"broken", broken},
+    {"clock", clock},
+    {"shutdown", shutdown},
+    {"late", late},
+    {"stall", stall},
+    {"soak", soak},
+    {"interrupted", interrupted},
 };
 
 std::string all_names() {
--- a/tests/faults/run.cpp
+++ b/tests/faults/run.cpp
@@ -171,6 +171,7 @@
     } else {
       std::cout << "logs: " << run_.folder.string() << "\n";
     }
+    std::cout << std::flush;  // a long series of seeds can be watched, and cut off
     return good ? 0 : 1;
   }
 
