--- a/src/platform/client.cpp
+++ b/src/platform/client.cpp
@@ -79,21 +79,22 @@
 }
 
 // A request that has arrived already is read and answered first; dropped, it would have no answer. One may
-// also arrive while the process is stopped after the look: the connection is looked at again with the next
-// sweep.
+// also arrive while the process is stopped after the look: then the connection is looked at again.
 void Client::finish_if_idle() {
-  if (!is_open()) return;
-  const service::ResumeCount facts_as_of = service::ResumeMonitor::count();
-  if (may_have_input()) read_pending_input();
-  if (!is_open() || core::may_close(close_facts()) != core::CloseDecision::close) return;
-  switch (socket_.shut_down_unless_resumed(facts_as_of)) {
-    case service::GuardedShutdown::done:
-      phase_ = Phase::lingering;
-      ending_since_ = host_.now();
-      break;
-    case service::GuardedShutdown::outdated: break;
-    case service::GuardedShutdown::broken: close("its connection is gone"); break;
+  auto result = service::GuardedShutdown::outdated;
+  while (result == service::GuardedShutdown::outdated) {
+    if (!is_open()) return;
+    const service::ResumeCount facts_as_of = service::ResumeMonitor::count();
+    if (may_have_input()) read_pending_input();
+    if (!is_open() || core::may_close(close_facts()) != core::CloseDecision::close) return;
+    result = socket_.shut_down_unless_resumed(facts_as_of);
+  }
+  if (result == service::GuardedShutdown::broken) {
+    close("its connection is gone");
+    return;
   }
+  phase_ = Phase::lingering;
+  ending_since_ = host_.now();
 }
 
 // Closing over unread input resets the connection, and the last answer may be lost with it.
