PostgreSQL: a session whose messages are skipped to a Sync is logged in

What callers saw: a session older than the time for logins could be closed without an answer after an error in a batch, while its client had not sent the Sync yet.

Evidence: the new test failed on the commit before (started() was false after an error in a batch) and passes with the change.

--- a/src/protocol/pg/frontend_session.hpp
+++ b/src/protocol/pg/frontend_session.hpp
@@ -65,8 +65,8 @@
 
   /// Whether a request is in flight.
   [[nodiscard]] bool busy() const { return busy_; }
-  /// Whether the client has logged in and isn't being skipped to its next Sync.
-  [[nodiscard]] bool started() const { return state_ == State::ready; }
+  /// Whether the client has logged in, and the session has not ended.
+  [[nodiscard]] bool started() const { return state_ == State::ready || state_ == State::skipping; }
   /// Bytes of the client that are buffered.
   [[nodiscard]] std::size_t waiting() const { return frames_.waiting(); }
   [[nodiscard]] const std::string& user() const { return login_.user(); }
