PostgreSQL: RESET goes back to what the startup message set, the application's name too

What callers saw: after RESET application_name, rules went on to see the name that had been set, and put queries into its class. After RESET statement_timeout the limit that the client had given at its login was gone.

Cause: the application's name was kept twice, and RESET cleared one of the two; RESET removed values that PostgreSQL takes back to those of the startup message.

--- a/src/protocol/pg/frontend_login.cpp
+++ b/src/protocol/pg/frontend_login.cpp
@@ -133,6 +133,7 @@
     if (const auto problem = parameters.set(name, value, not_reported))
       return error(problem->code, problem->message);
   }
+  parameters.end_startup();
   return begin_authentication(out);
 }
 
--- a/src/protocol/pg/frontend_session.hpp
+++ b/src/protocol/pg/frontend_session.hpp
@@ -71,7 +71,7 @@
   [[nodiscard]] std::size_t waiting() const { return frames_.waiting(); }
   [[nodiscard]] const std::string& user() const { return login_.user(); }
   [[nodiscard]] const std::string& database() const { return login_.database(); }
-  [[nodiscard]] const std::string& application() const { return parameters_.application(); }
+  [[nodiscard]] std::string application() const { return parameters_.application(); }
 
  private:
   enum class State : std::uint8_t {
--- a/src/protocol/pg/session_parameters.cpp
+++ b/src/protocol/pg/session_parameters.cpp
@@ -121,7 +121,6 @@
     return error("0A000", "parameter \"" + key + "\" can only be " + std::string(*fixed) + " here");
   }
   if (auto problem = check_value(key, value)) return problem;
-  if (key == "application_name") application_ = value;
   values_[key] = value;
   if (parameter->is_reported) put_parameter(out, parameter->name, value);
   return std::nullopt;
@@ -161,14 +160,16 @@
   const Parameter* parameter = find_parameter(name);
   const bool resets_all = name == "all";
   if (!resets_all && parameter == nullptr) return unknown_parameter(name);
-  for (const Parameter& reported : reported_parameters()) {
-    if (values_.contains(key_of(reported)) && (resets_all || parameter->name == reported.name))
-      put_parameter(out, reported.name, reported.default_value);
-  }
+  const auto earlier = values_;
   if (resets_all) {
-    values_.clear();
+    values_ = startup_values_;
   } else {
-    values_.erase(key_of(*parameter));
+    restore_startup_value(key_of(*parameter));
+  }
+  for (const Parameter& reported : reported_parameters()) {
+    const std::string key = key_of(reported);
+    if (earlier.contains(key) && (resets_all || parameter->name == reported.name))
+      put_parameter(out, reported.name, value_of(key));
   }
   put_complete(out, "RESET");
   return std::nullopt;
@@ -177,10 +178,19 @@
 std::optional<Fields> SessionParameters::reset_to_default(const std::string& name) {
   const Parameter* parameter = find_parameter(name);
   if (parameter == nullptr) return unsettable_parameter(name);
-  values_.erase(key_of(*parameter));
+  restore_startup_value(key_of(*parameter));
   return std::nullopt;
 }
 
+void SessionParameters::restore_startup_value(const std::string& key) {
+  const auto found = startup_values_.find(key);
+  if (found == startup_values_.end()) {
+    values_.erase(key);
+  } else {
+    values_[key] = found->second;
+  }
+}
+
 void SessionParameters::report_all(std::string& out) const {
   for (const Parameter& parameter : reported_parameters())
     put_parameter(out, parameter.name, value_of(key_of(parameter)));
--- a/src/protocol/pg/session_parameters.hpp
+++ b/src/protocol/pg/session_parameters.hpp
@@ -21,6 +21,8 @@
 class SessionParameters {
  public:
   void set_user(std::string user) { user_ = std::move(user); }
+  /// From here on RESET goes back to what is set now, which came with the startup message.
+  void end_startup() { startup_values_ = values_; }
 
   /// Sets a parameter and reports it (ParameterStatus) where clients follow it. The error, where it is not
   /// known or can't have this value.
@@ -38,17 +40,18 @@
   [[nodiscard]] std::map<std::string, std::string> engine_settings() const;
   /// Nothing where it is not limited.
   [[nodiscard]] std::optional<Duration> statement_timeout() const;
-  [[nodiscard]] const std::string& application() const { return application_; }
+  [[nodiscard]] std::string application() const { return value_of("application_name"); }
 
  private:
   [[nodiscard]] std::string value_of(const std::string& key) const;
   std::optional<Fields> show(const std::string& name, RowDescription row_description, std::string& out) const;
   std::optional<Fields> reset(const std::string& name, std::string& out);
   std::optional<Fields> reset_to_default(const std::string& name);
+  void restore_startup_value(const std::string& key);
 
   std::string user_;
-  std::string application_;
   std::map<std::string, std::string> values_;  // that were set, by names in lower case
+  std::map<std::string, std::string> startup_values_;  // of them, what RESET goes back to
 };
 
 }  // namespace paddlestand::pg
