Answer what is open at the end of a shutdown also where a stop made its steps late

Cause: the time that requests get after the listener has closed counted from that step, which a stop of the process had made late; and the last step ended connections before the core had processed what was due.

Evidence: the log has three gaps of 251 ms within 1.1 s from the begin of the shutdown, the requests received after the last of them and the end of the process 0.9 ms later, with a "closed_with_open_requests". The new test stops the manager until 80 ms before its kill: the open request had no answer before, and has one in 3 of 3 runs now.

Fix: the moment by which all is answered is fixed when the shutdown begins. The last step has the core process its timers first.

--- a/src/platform/graceful_shutdown.cpp
+++ b/src/platform/graceful_shutdown.cpp
@@ -48,14 +48,17 @@
   const Duration until_kill = std::max(earliest_signal + grace_period_ - host_.now(), Duration{0});
   const Duration until_answered = until_kill - std::min(answer_margin, until_kill / 4);
   const Duration until_refused = std::min(arrival_period, until_answered);
-  run_after(refuse_timer_, until_refused, [this, time_for_answers = until_answered - until_refused] {
+  const TimePoint answered_by = host_.now() + until_answered;
+  run_after(refuse_timer_, until_refused, [this, answered_by] {
     listener_.close_when_drained();
-    // Requests that are open at SIGKILL would be lost; refused in time, they can go elsewhere.
-    host_.dispatch(core::BeginShutdown{time_for_answers});
+    // Requests that are open at SIGKILL would be lost; refused in time, they can go elsewhere. A stop of the
+    // process may have made this step late.
+    host_.dispatch(core::BeginShutdown{std::max(answered_by - host_.now(), Duration{0})});
   });
   run_after(idle_timer_, std::max(until_kill - frequent_sweep_margin, Duration{0}),
             [this] { service::spawn(host_.io(), end_idle_connections_often()); });
   run_after(stop_timer_, until_kill - std::min(exit_margin, until_kill / 8), [this] {
+    host_.dispatch(core::TimerExpired{});  // after a stop of the process the last answers may be due only now
     end_idle_connections();
     host_.stop();
   });
--- a/tests/incidents/late_signal_test.cpp
+++ b/tests/incidents/late_signal_test.cpp
@@ -34,5 +34,20 @@
   EXPECT_LT(Clock::now() - terminated_at, kill_after_termination);
 }
 
+// Guards against answers that are waited for beyond the end of the process, where a stop comes in between.
+TEST_F(TerminatedDuringAStop, AnswersAtOnceWhereTheStopLastsUntilTheProcessIsToEnd) {
+  client().send_request(next_number(), trace);
+  ASSERT_TRUE(run_until([&] { return engine().attempts_started(trace) == 1; }, [](auto&, auto&, auto&) {}));
+  const auto terminated_at = Clock::now();
+  manager().terminate();
+  std::this_thread::sleep_for(300ms);  // it has begun its shutdown
+  manager().stop();
+  std::this_thread::sleep_until(terminated_at + kill_after_termination - 80ms);
+  manager().resume();
+
+  EXPECT_NE(outcome_while(client(), [](auto&, auto&, auto&) {}), "nothing") << manager().log();
+  EXPECT_LT(Clock::now() - terminated_at, kill_after_termination);
+}
+
 }  // namespace
 }  // namespace paddlestand::platform::test
