One series of retries for a reload, in both hosts; the reload test reads its faulty file

What operators would see: a SIGHUP between two retries of a reload began a second series, which read the file twice as often and gave up early.

Cause: ReloadRetry could not take back a retry that it had scheduled. The platform's host had a second implementation, whose retry read the file once more after a success in between.

Fix: one timer for the one retry that waits; both hosts use the class.

The reload at the end of EngineListIsReloadedFaultyOnesAreIgnoredAndDrainsHonoured named no file and so tested an unreadable one, not the faulty settings that it says. Tests' managers reload from the path of their settings now; the statement is as it was, one on a missing file follows, and a new test shows that a faulty file is read and read again once it is corrected.

--- a/src/platform/config_reloader.hpp
+++ b/src/platform/config_reloader.hpp
@@ -1,17 +1,16 @@
 /// Reading the configuration file again at run time.
 #pragma once
 
-#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <string>
 
 #include "config.hpp"
 #include "platform_host.hpp"
+#include "service/reload_retry.hpp"
 
 namespace paddlestand::platform {
 
-/// Reads the file at each reload(); where that fails, again after a pause, until it succeeds. Owns the timer
-/// of the pause.
+/// Reads the file at each reload(); where that fails, again after a pause, until it succeeds.
 class ConfigReloader {
  public:
   using OnConfig = std::function<void(const PlatformConfig&)>;
@@ -22,14 +21,10 @@
   void reload();
 
  private:
-  void retry_later();
-
   PlatformHost& host_;
   std::string path_;
   OnConfig on_config_;
-  boost::asio::steady_timer retry_timer_;
-  bool is_retry_pending_ = false;
-  bool is_failure_logged_ = false;  // the first of a series is
+  service::ReloadRetry retry_;
 };
 
 }  // namespace paddlestand::platform
--- a/tests/service/hard_cases_test.cpp
+++ b/tests/service/hard_cases_test.cpp
@@ -350,6 +350,37 @@
   folder.write("manager.xml", "<manager");
   manager.reload();
   EXPECT_EQ(client.execute("select 1 /*cost_ms='1'*/"), "TDCZ");
+
+  // Nor does one of settings that can't be read.
+  folder.remove("manager.xml");
+  manager.reload();
+  EXPECT_EQ(client.execute("select 1 /*cost_ms='1'*/"), "TDCZ");
+}
+
+// Guards against a reload that reads no file: the test above once named none, and tested an unreadable one.
+TEST(HardCase, FaultySettingsAreReadAgainUntilTheyAreCorrected) {
+  const FilesFolder folder;
+  test_engine::TestEngineSettings engine_settings;
+  engine_settings.truth_log = folder.path("truth.jsonl");
+  Engine first(engine_settings);
+  engine_settings.name = "second";
+  Engine second(engine_settings);
+  RunningManager manager(manager_settings({first->port()}), trusted_users(), folder.path("manager.xml"));
+  RawClient client(manager.port());
+
+  folder.write("manager.xml", "<manager");
+  manager.reload();
+  EXPECT_EQ(client.execute("select 1 /*cost_ms='1',sim_id='a'*/"), "TDCZ");
+
+  std::string corrected = manager_settings({second->port()});
+  corrected.replace(corrected.find("id=\"1\""), 6, "id=\"2\"");  // not the engine that was listed before
+  folder.replace("manager.xml", corrected);
+  const auto is_sent_to_second = [&] {
+    EXPECT_EQ(client.execute("select 1 /*cost_ms='1',sim_id='b'*/"), "TDCZ");
+    const auto events = events_of(engine_settings.truth_log, "b");
+    return !events.empty() && events.back()["engine"] == "second";
+  };
+  EXPECT_TRUE(comes_true(is_sent_to_second));
 }
 
 TEST(HardCase, DescriptorsAndTimersDoNotLeak) {
--- a/tests/service/service_harness.hpp
+++ b/tests/service/service_harness.hpp
@@ -66,7 +66,8 @@
   return users;
 }
 
-/// A manager with these settings. `path`: where they would stand, for the files that they name.
+/// A manager with these settings. `path`: where they would stand, for the files that they name and for
+/// reloads.
 class RunningManager : public Thread<PostgresServer> {
  public:
   explicit RunningManager(const std::string& settings, pg::Users users = trusted_users(),
@@ -74,7 +75,7 @@
       : Thread([&](auto& io) {
           auto read = config::parse_manager_config(settings, path);
           if (const auto* fault = std::get_if<config::Fault>(&read)) throw std::runtime_error(fault->text());
-          return std::make_unique<PostgresServer>(io, std::get<config::ManagerConfig>(std::move(read)), "",
+          return std::make_unique<PostgresServer>(io, std::get<config::ManagerConfig>(std::move(read)), path,
                                                   users, "");
         }) {}
   std::uint16_t port() {
