PostgreSQL: addresses of engines that left the list are forgotten

What operators would see: memory that grows with every engine ever listed, until a restart.

Cause: EngineChannels kept an address for each engine and never dropped one.

Evidence: the new test lists 10,000 engines, 200 at a time.

Fix: once the core has dealt with a list, the addresses of all other engines are dropped.

--- a/src/service/engine_channels.cpp
+++ b/src/service/engine_channels.cpp
@@ -7,6 +7,10 @@
 
 namespace paddlestand::service {
 
+void EngineChannels::forget_endpoints_except(const std::set<EngineId>& engines) {
+  std::erase_if(endpoints_, [&](const auto& entry) { return !engines.contains(entry.first); });
+}
+
 void EngineChannels::open(PostgresServer& server, core::ChannelId id, EngineId engine) {
   const auto channel = std::make_shared<EngineChannel>(server, id, endpoints_.at(engine));
   channels_.emplace(id, channel);
--- a/src/service/engine_channels.hpp
+++ b/src/service/engine_channels.hpp
@@ -4,6 +4,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <memory>
 #include <optional>
+#include <set>
 #include <unordered_map>
 
 #include "core/event_dispatcher.hpp"
@@ -21,6 +22,11 @@
 
   /// Where channels to this engine connect from now on.
   void set_endpoint(EngineId engine, const Endpoint& endpoint) { endpoints_[engine] = endpoint; }
+  /// Forgets the endpoints of all engines but these, once no channel to another one will be opened.
+  void forget_endpoints_except(const std::set<EngineId>& engines);
+  [[nodiscard]] bool has_endpoint(EngineId engine) const { return endpoints_.contains(engine); }
+  /// The number of endpoints that are kept.
+  [[nodiscard]] std::size_t endpoint_count() const { return endpoints_.size(); }
 
   /// Opens a channel to an engine whose endpoint is known, and starts it.
   void open(PostgresServer& server, core::ChannelId id, EngineId engine);
--- a/src/service/postgres_server.cpp
+++ b/src/service/postgres_server.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <set>
 #include <utility>
 
 #include "client_session.hpp"
@@ -213,6 +214,7 @@
 void PostgresServer::use_engines(const std::vector<config::ListedEngine>& engines) {
   core::EndpointsUpdated update;
   update.scope = EndpointUpdate::full;
+  std::set<EngineId> listed;
   for (const config::ListedEngine& engine : engines) {
     error_code error;
     const auto address = asio::ip::make_address(engine.at.address, error);
@@ -224,12 +226,15 @@
                  "left out");
       continue;
     }
-    channels_.set_endpoint(engine.entry.engine, {address, engine.at.port});
+    const EngineId id = engine.entry.engine;
+    channels_.set_endpoint(id, {address, engine.at.port});
+    listed.insert(id);
     update.engines.push_back(engine.entry);
   }
   engine_starts_.map(now(), update.engines);
   engine_starts_.first_list_ends();
   dispatch(std::move(update));
+  channels_.forget_endpoints_except(listed);
 }
 
 asio::awaitable<void> PostgresServer::watch_engine_list() {
--- a/src/service/postgres_server.hpp
+++ b/src/service/postgres_server.hpp
@@ -41,6 +41,9 @@
   void start();
   /// The port that it listens on, once started.
   [[nodiscard]] std::uint16_t port() const { return listener_.port(); }
+  [[nodiscard]] bool knows_engine(EngineId engine) const { return channels_.has_endpoint(engine); }
+  /// The number of engines whose address is kept.
+  [[nodiscard]] std::size_t known_engines() const { return channels_.endpoint_count(); }
 
   /// Reads the settings again and adopts those that may change while it runs; a fault changes nothing.
   void reload();
--- a/tests/service/hard_cases_test.cpp
+++ b/tests/service/hard_cases_test.cpp
@@ -383,6 +383,26 @@
   EXPECT_TRUE(comes_true(is_sent_to_second));
 }
 
+// Guards against state that grows with every engine that was ever listed.
+TEST(HardCase, TenThousandEnginesThatCameAndWentAreForgotten) {
+  constexpr int rolls = 50;
+  constexpr int engines_in_a_list = 200;
+  constexpr std::uint16_t unused_port = 1;
+  const FilesFolder folder;
+  folder.replace_engine_list("</engines>");
+  RunningManager manager(manager_settings_with_list_file(), trusted_users(), folder.path("manager.xml"));
+
+  int next_id = 1;
+  for (int roll = 0; roll < rolls; ++roll) {
+    std::string list;
+    for (int i = 0; i < engines_in_a_list; ++i) list += engine_element(next_id++, unused_port, "ready");
+    folder.replace_engine_list(list + "</engines>");
+    ASSERT_TRUE(comes_true([&] { return manager.knows_engine(static_cast<EngineId>(next_id - 1)); })) << roll;
+  }
+
+  EXPECT_EQ(manager.known_engines(), static_cast<std::size_t>(engines_in_a_list));
+}
+
 TEST(HardCase, DescriptorsAndTimersDoNotLeak) {
   Engine engine;
   RunningManager manager(manager_settings({engine->port()}));
--- a/tests/service/service_harness.hpp
+++ b/tests/service/service_harness.hpp
@@ -84,6 +84,12 @@
   core::Counts counts() {
     return run([](PostgresServer& server) { return server.counts(); });
   }
+  bool knows_engine(EngineId engine) {
+    return run([engine](PostgresServer& server) { return server.knows_engine(engine); });
+  }
+  std::size_t known_engines() {
+    return run([](PostgresServer& server) { return server.known_engines(); });
+  }
   void reload() {
     run([](PostgresServer& server) {
       server.reload();
