PostgreSQL: an engine at another address under its id counts as started now

What callers saw: after a reload that moved an engine, queries went on to its earlier address.

Cause: an idle channel belongs to the engine's id, and a new address closed none.

Fix: such an engine counts as restarted, as the core knows it: idle channels are closed, and it warms up.

--- a/src/service/engine_channels.cpp
+++ b/src/service/engine_channels.cpp
@@ -7,6 +7,13 @@
 
 namespace paddlestand::service {
 
+bool EngineChannels::set_endpoint(EngineId engine, const Endpoint& endpoint) {
+  const auto [known, is_new] = endpoints_.try_emplace(engine, endpoint);
+  const bool has_moved = !is_new && known->second != endpoint;
+  known->second = endpoint;
+  return has_moved;
+}
+
 void EngineChannels::forget_endpoints_except(const std::set<EngineId>& engines) {
   std::erase_if(endpoints_, [&](const auto& entry) { return !engines.contains(entry.first); });
 }
--- a/src/service/engine_channels.hpp
+++ b/src/service/engine_channels.hpp
@@ -20,8 +20,8 @@
  public:
   using Endpoint = boost::asio::ip::tcp::endpoint;
 
-  /// Where channels to this engine connect from now on.
-  void set_endpoint(EngineId engine, const Endpoint& endpoint) { endpoints_[engine] = endpoint; }
+  /// Where channels to this engine connect from now on. True: it was known at another address before.
+  bool set_endpoint(EngineId engine, const Endpoint& endpoint);
   /// Forgets the endpoints of all engines but these, once no channel to another one will be opened.
   void forget_endpoints_except(const std::set<EngineId>& engines);
   [[nodiscard]] bool has_endpoint(EngineId engine) const { return endpoints_.contains(engine); }
--- a/src/service/postgres_server.cpp
+++ b/src/service/postgres_server.cpp
@@ -215,6 +215,7 @@
   core::EndpointsUpdated update;
   update.scope = EndpointUpdate::full;
   std::set<EngineId> listed;
+  std::set<EngineId> moved;
   for (const config::ListedEngine& engine : engines) {
     error_code error;
     const auto address = asio::ip::make_address(engine.at.address, error);
@@ -227,12 +228,15 @@
       continue;
     }
     const EngineId id = engine.entry.engine;
-    channels_.set_endpoint(id, {address, engine.at.port});
+    if (channels_.set_endpoint(id, {address, engine.at.port})) moved.insert(id);
     listed.insert(id);
     update.engines.push_back(engine.entry);
   }
   engine_starts_.map(now(), update.engines);
   engine_starts_.first_list_ends();
+  // At another address runs another process: idle channels to the earlier one must not be used again.
+  for (EngineEntry& entry : update.engines)
+    if (moved.contains(entry.engine)) entry.started = now();
   dispatch(std::move(update));
   channels_.forget_endpoints_except(listed);
 }
--- a/tests/service/hard_cases_test.cpp
+++ b/tests/service/hard_cases_test.cpp
@@ -383,6 +383,27 @@
   EXPECT_TRUE(comes_true(is_sent_to_second));
 }
 
+// Guards against queries that go on to the earlier address of an engine, on a channel that was idle.
+TEST(HardCase, AnEngineThatMovesUnderItsIdGetsItsQueriesAtTheNewAddress) {
+  const FilesFolder folder;
+  test_engine::TestEngineSettings engine_settings;
+  engine_settings.truth_log = folder.path("truth.jsonl");
+  Engine first(engine_settings);
+  engine_settings.name = "second";
+  Engine second(engine_settings);
+  RunningManager manager(manager_settings({first->port()}), trusted_users(), folder.path("manager.xml"));
+  RawClient client(manager.port());
+  ASSERT_EQ(client.execute("select 1 /*cost_ms='1',sim_id='a'*/"), "TDCZ");
+
+  folder.replace("manager.xml", manager_settings({second->port()}));
+  manager.reload();
+  ASSERT_EQ(client.execute("select 1 /*cost_ms='1',sim_id='b'*/"), "TDCZ");
+
+  const auto events = events_of(engine_settings.truth_log, "b");
+  ASSERT_FALSE(events.empty());
+  EXPECT_EQ(events.back()["engine"], "second");
+}
+
 // Guards against state that grows with every engine that was ever listed.
 TEST(HardCase, TenThousandEnginesThatCameAndWentAreForgotten) {
   constexpr int rolls = 50;
