Linter's findings in the resume monitor and the log

Change: csignal; the guarded message is no volatile object any more, a signal fence keeps the order of its length and the count; the cast that is left says why.

--- a/src/observe/log.cpp
+++ b/src/observe/log.cpp
@@ -1,10 +1,10 @@
 #include "log.hpp"
 
-#include <signal.h>
 #include <spdlog/pattern_formatter.h>
 #include <spdlog/sinks/stdout_sinks.h>
 
 #include <array>
+#include <csignal>
 #include <future>
 #include <thread>
 
--- a/src/service/resume_monitor.cpp
+++ b/src/service/resume_monitor.cpp
@@ -1,13 +1,13 @@
 #include "resume_monitor.hpp"
 
 #include <fcntl.h>
-#include <signal.h>
 #include <sys/eventfd.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <atomic>
 #include <cerrno>
+#include <csignal>
 
 namespace paddlestand::service {
 namespace {
@@ -15,9 +15,8 @@
 std::atomic<ResumeCount> resumes{0};
 static_assert(std::atomic<ResumeCount>::is_always_lock_free, "a signal handler may use nothing else");
 
-// The part that a guarded send transmits. Volatile: the handler changes its length at any moment, and the
-// kernel reads it behind the compiler's back.
-thread_local volatile iovec guarded_part{};
+// The part that a guarded send transmits. The handler changes its length at any moment of the thread's.
+thread_local iovec guarded_part{};
 
 constexpr int no_descriptor = -1;
 // Not a socket, so that a shutdown of it fails. Without it shutdowns are not guarded.
@@ -72,13 +71,14 @@
 ResumeCount ResumeMonitor::count() { return resumes.load(); }
 
 IoResult send_unless_resumed(int socket, std::string_view bytes, ResumeCount facts_as_of) {
-  // The kernel does not write to what it sends.
+  // NOLINTNEXTLINE(cppcoreguidelines-pro-type-const-cast): the kernel does not write to what it sends
   guarded_part.iov_base = const_cast<char*>(bytes.data());
   guarded_part.iov_len = bytes.size();
+  std::atomic_signal_fence(std::memory_order_seq_cst);
   // From here on a resume empties the part; one before is in the count.
   if (resumes.load() != facts_as_of) return {IoStatus::outdated, 0, {}};
   msghdr message{};
-  message.msg_iov = const_cast<iovec*>(&guarded_part);
+  message.msg_iov = &guarded_part;
   message.msg_iovlen = 1;
   IoResult sent = send_message(socket, message);
   if (sent.status == IoStatus::progress && sent.bytes == 0 && !bytes.empty())
