PostgreSQL: no query begins for a client that closed during a stop of the process

A query could be sent to an engine for a client that had closed while the process was stopped after the look at its connection.

Change: the first bytes of a query are sent by a guarded send; after a stop the client is looked at again. A probe is sent as it is. Bytes that the socket did not take are written without the guard, as before.

--- a/src/service/engine_channel.cpp
+++ b/src/service/engine_channel.cpp
@@ -144,10 +144,12 @@
 
 // ---- Writing ----
 
-core::WriteResult EngineChannel::send(std::string bytes) {
+std::optional<core::WriteResult> EngineChannel::send(std::string bytes, ResumeCount facts_as_of) {
+  const IoResult first = socket_.send_unless_resumed(bytes, facts_as_of);
+  if (first.status == IoStatus::outdated) return std::nullopt;
   writing_ = std::move(bytes);
-  written_ = 0;
-  const IoStatus status = write_pending();
+  written_ = first.bytes;
+  const IoStatus status = first.status == IoStatus::progress ? write_pending() : first.status;
   // The reader will find the same; reported now, since no complete query was written.
   if (status == IoStatus::ended) return core::WriteResult::failed;
   if (status == IoStatus::progress) return core::WriteResult::complete;
--- a/src/service/engine_channel.hpp
+++ b/src/service/engine_channel.hpp
@@ -6,10 +6,12 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "postgres_server.hpp"
+#include "resume_monitor.hpp"
 
 namespace paddlestand::service {
 
@@ -26,8 +28,9 @@
   /// Closes the connection. The core has dropped the channel: it is not notified of anything any more.
   void close();
   /// Writes a query. What the socket doesn't take now is written later, and QuerySent dispatched in the same
-  /// turn as the last byte.
-  core::WriteResult send(std::string bytes);
+  /// turn as the last byte. Nothing, where the process was resumed since `facts_as_of`: not a byte was
+  /// written.
+  std::optional<core::WriteResult> send(std::string bytes, ResumeCount facts_as_of);
   /// Stops reading answers until resume(): the client's window is full.
   void pause() { is_paused_ = true; }
   void resume();
--- a/src/service/postgres_server.cpp
+++ b/src/service/postgres_server.cpp
@@ -93,14 +93,26 @@
 core::WriteResult PostgresServer::send(const core::SendQuery& action) {
   const auto channel = channels_.find(action.channel);
   const auto session = sessions_.session_of(action.query);
-  // The client may have closed since its session was last read: a query nobody waits for is not started.
-  if (!session || !session->check_connected()) return core::WriteResult::suppressed;
-  return channel->send(channel->protocol().flight(session->query(), action.priority, action.memory_mb));
+  if (!session) return core::WriteResult::suppressed;
+  const std::string bytes = channel->protocol().flight(session->query(), action.priority, action.memory_mb);
+  std::optional<core::WriteResult> result;
+  while (!result) {
+    // The client may have closed since its session was last read, or while the process was stopped: a query
+    // nobody waits for is not started.
+    const ResumeCount facts_as_of = ResumeMonitor::count();
+    if (!session->check_connected()) return core::WriteResult::suppressed;
+    result = channel->send(bytes, facts_as_of);
+  }
+  return *result;
 }
 
 core::WriteResult PostgresServer::send(const core::SendProbe& action) {
   const auto channel = channels_.find(action.channel);
-  return channel->send(channel->protocol().probe());
+  // A probe depends on no fact that a stop could make old.
+  const std::string bytes = channel->protocol().probe();
+  std::optional<core::WriteResult> result;
+  while (!result) result = channel->send(bytes, ResumeMonitor::count());
+  return *result;
 }
 
 void PostgresServer::execute(const core::CancelOnEngine& action) {
