Test engine: a refusal by drain is written before its session is closed

What tests saw: a manager whose login met a draining test engine saw a broken connection in place of the error with its reason.

Cause: the session counted as closed as soon as the error was queued, and ended without a flush.

Evidence: the new test got "ended" before and 57P03 now; the other 28 of service_tests pass.

Fix: what is queued is written first.

--- a/test_engine/session.cpp
+++ b/test_engine/session.cpp
@@ -40,8 +40,8 @@
   for (;;) {
     if (!read_frames()) co_return;
     if (is_started_ && !has_query_) process_messages();
-    if (is_closed_) co_return;
     if (!output_.empty() && !co_await flush()) co_return;
+    if (is_closed_) co_return;
     error_code error;
     const std::size_t received = co_await socket_.async_read_some(
         asio::buffer(buffer), asio::redirect_error(asio::use_awaitable, error));
--- a/tests/service/hard_cases_test.cpp
+++ b/tests/service/hard_cases_test.cpp
@@ -404,6 +404,14 @@
   EXPECT_EQ(events.back()["engine"], "second");
 }
 
+// Guards against a test engine whose refusal is closed before it was written: managers saw a broken login.
+TEST(HardCase, ADrainingTestEngineSaysWhyItRefusesASession) {
+  Engine engine;
+  engine.command("drain");
+
+  EXPECT_EQ(scram_login(engine->port(), "ann", "secret"), "57P03");
+}
+
 // Guards against state that grows with every engine that was ever listed.
 TEST(HardCase, TenThousandEnginesThatCameAndWentAreForgotten) {
   constexpr int rolls = 50;
