--- a/tests/faults/call_faults.cpp
+++ b/tests/faults/call_faults.cpp
@@ -22,23 +22,24 @@
 #include <dlfcn.h>
 #include <fcntl.h>
 #include <netinet/in.h>
-#include <signal.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/syscall.h>
 #include <sys/uio.h>
 #include <sys/wait.h>
-#include <time.h>
 #include <unistd.h>
 
+#include <array>
 #include <atomic>
 #include <cerrno>
+#include <csignal>
 #include <cstdarg>
 #include <cstdint>
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
+#include <ctime>
 #include <string>
 #include <vector>
 
@@ -71,7 +72,7 @@
   int number;
 };
 
-constexpr ErrorName error_names[] = {
+constexpr std::array<ErrorName, 20> error_names{{
     {"EINTR", EINTR},
     {"ENOBUFS", ENOBUFS},
     {"ENOMEM", ENOMEM},
@@ -92,7 +93,7 @@
     {"EPERM", EPERM},
     {"EAGAIN", EAGAIN},
     {"ECONNREFUSED", ECONNREFUSED},
-};
+}};
 
 int error_number_of(const std::string& name) {
   for (const ErrorName& error : error_names)
@@ -103,17 +104,17 @@
 
 /// Aborts the process where the rule is not well-formed.
 Rule parse_rule(const std::string& text) {
-  char call[32] = {};
-  char effect_text[64] = {};
+  std::array<char, 32> call{};
+  std::array<char, 64> effect_text{};
   Rule rule;
-  const int fields = std::sscanf(text.c_str(), " %31s %63s %lf %lf %lf", call, effect_text, &rule.probability,
-                                 &rule.from, &rule.until);
+  const int fields = std::sscanf(text.c_str(), " %31s %63s %lf %lf %lf", call.data(), effect_text.data(),
+                                 &rule.probability, &rule.from, &rule.until);
   if (fields < 3) {
     std::fprintf(stderr, "call_faults: '%s'; expected: CALL ERROR PROBABILITY [FROM UNTIL]\n", text.c_str());
     std::abort();
   }
-  rule.call = call;
-  const std::string effect = effect_text;
+  rule.call = call.data();
+  const std::string effect = effect_text.data();
   if (effect == "short") {
     rule.effect = Effect::short_transfer;
   } else if (effect.rfind("broken:", 0) == 0) {
@@ -153,7 +154,7 @@
 class Faults {
  public:
   static Faults& instance() {
-    static Faults* const faults = new Faults;  // never destroyed: calls are made until the process ends
+    static auto* const faults = new Faults;  // never destroyed: calls are made until the process ends
     return *faults;
   }
 
@@ -171,9 +172,10 @@
   double wall_offset() const {
     const double now = monotonic_seconds() - began_;
     double offset = 0;
-    for (const Rule& rule : rules_)
+    for (const Rule& rule : rules_) {
       if (rule.effect == Effect::wall_clock_offset && now >= rule.from && now < rule.until)
         offset += rule.offset_s;
+    }
     return offset;
   }
 
@@ -186,10 +188,10 @@
     size = sizeof(own);
     ::getsockname(socket, reinterpret_cast<sockaddr*>(&own), &size);
     if (log_ >= 0) {
-      char line[128];
-      const int length = std::snprintf(line, sizeof(line), "broken %d %d %.6f\n", ntohs(own.sin_port),
+      std::array<char, 128> line{};
+      const int length = std::snprintf(line.data(), line.size(), "broken %d %d %.6f\n", ntohs(own.sin_port),
                                        ntohs(peer.sin_port), monotonic_seconds());
-      if (real_write(log_, line, static_cast<std::size_t>(length)) < 0) std::abort();
+      if (real_write(log_, line.data(), static_cast<std::size_t>(length)) < 0) std::abort();
     }
     static const auto shut = real<int (*)(int, int)>("shutdown");
     shut(socket, SHUT_RDWR);
--- a/tests/faults/client_protocol.cpp
+++ b/tests/faults/client_protocol.cpp
@@ -1,5 +1,6 @@
 #include "client_protocol.hpp"
 
+#include <array>
 #include <cstdio>
 
 #include "event_log.hpp"
@@ -11,9 +12,9 @@
 constexpr std::int64_t rejected_code = -32001;
 
 std::string hex(std::uint64_t value) {
-  char text[17];
-  std::snprintf(text, sizeof(text), "%016llx", static_cast<unsigned long long>(value));
-  return text;
+  std::array<char, 17> text{};
+  std::snprintf(text.data(), text.size(), "%016llx", static_cast<unsigned long long>(value));
+  return text.data();
 }
 
 /// Requests with an idempotency key each have an entity of their own.
--- a/tests/faults/clients.cpp
+++ b/tests/faults/clients.cpp
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <list>
 #include <map>
 #include <random>
@@ -258,13 +259,13 @@
   }
 
   void read_commands() {
-    char part[256];
-    const ssize_t size = ::read(STDIN_FILENO, part, sizeof(part));
+    std::array<char, 256> part{};
+    const ssize_t size = ::read(STDIN_FILENO, part.data(), part.size());
     if (size <= 0) {
       finishing_ = true;
       return;
     }
-    commands_.append(part, static_cast<std::size_t>(size));
+    commands_.append(part.data(), static_cast<std::size_t>(size));
     for (auto end = commands_.find('\n'); end != std::string::npos; end = commands_.find('\n')) {
       const std::string line = commands_.substr(0, end);
       commands_.erase(0, end + 1);
--- a/tests/faults/discovery.cpp
+++ b/tests/faults/discovery.cpp
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <cstdio>
 #include <utility>
 
@@ -28,9 +29,9 @@
 /// An engine in the "known" member of a configuration.
 std::string to_json(const discovery::Record& record) {
   constexpr std::int64_t ns_per_ms = 1'000'000;
-  char instance_id[16];
-  std::snprintf(instance_id, sizeof(instance_id), "s-%08x", record.entry.engine);
-  return std::string("{\"instanceId\":\"") + instance_id + "\",\"hostPort\":\"" +
+  std::array<char, 16> instance_id{};
+  std::snprintf(instance_id.data(), instance_id.size(), "s-%08x", record.entry.engine);
+  return std::string("{\"instanceId\":\"") + instance_id.data() + "\",\"hostPort\":\"" +
          Endpoint{record.address, record.port}.text() +
          "\",\"zone\":\"here\",\"machineType\":\"std\",\"cell\":0,\"lifecycle\":\"" +
          lifecycle_of(record.entry.state) +
--- a/tests/faults/engine.cpp
+++ b/tests/faults/engine.cpp
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <list>
 #include <map>
 #include <random>
@@ -73,9 +74,9 @@
 };
 
 std::string page_of(std::uint64_t trace, std::uint32_t page) {
-  char text[64];
-  std::snprintf(text, sizeof(text), "%016llx\t%u\trow\n", static_cast<unsigned long long>(trace), page);
-  return text;
+  std::array<char, 64> text{};
+  std::snprintf(text.data(), text.size(), "%016llx\t%u\trow\n", static_cast<unsigned long long>(trace), page);
+  return text.data();
 }
 
 bool is(const Frame& frame, Command command) { return frame.code == static_cast<std::uint8_t>(command); }
--- a/tests/faults/engine_processes.cpp
+++ b/tests/faults/engine_processes.cpp
@@ -1,8 +1,7 @@
 #include "engine_processes.hpp"
 
-#include <signal.h>
-
 #include <chrono>
+#include <csignal>
 #include <iterator>
 
 #include "child_process.hpp"
--- a/tests/faults/main.cpp
+++ b/tests/faults/main.cpp
@@ -1,8 +1,7 @@
 /// fault_runs: fault tests over real processes on loopback, with failing system calls, signals and
 /// misbehaving peers. `run` plays a profile; it starts `engine` and `clients` from this same program.
-#include <signal.h>
-
 #include <CLI/CLI.hpp>
+#include <csignal>
 #include <iostream>
 
 #include "processes.hpp"
--- a/tests/faults/manager_processes.cpp
+++ b/tests/faults/manager_processes.cpp
@@ -1,9 +1,9 @@
 #include "manager_processes.hpp"
 
-#include <signal.h>
 #include <unistd.h>
 
 #include <algorithm>
+#include <csignal>
 #include <filesystem>
 #include <fstream>
 
--- a/tests/faults/profiles.cpp
+++ b/tests/faults/profiles.cpp
@@ -1,5 +1,6 @@
 #include "profiles.hpp"
 
+#include <array>
 #include <stdexcept>
 
 namespace paddlestand::faults {
@@ -171,7 +172,7 @@
   Profile (*make)(const std::string& name, std::mt19937_64& random);
 };
 
-constexpr NamedProfile profiles[] = {
+constexpr std::array<NamedProfile, 13> profiles{{
     {"calm", calm},
     {"receive", receive},
     {"send", send},
@@ -185,7 +186,7 @@
     {"stall", stall},
     {"soak", soak},
     {"interrupted", interrupted},
-};
+}};
 
 std::string all_names() {
   std::string names;
--- a/tests/faults/sockets.cpp
+++ b/tests/faults/sockets.cpp
@@ -47,9 +47,9 @@
 
 std::string Endpoint::text() const {
   const in_addr raw{htonl(host)};
-  char text[INET_ADDRSTRLEN] = {};
-  ::inet_ntop(AF_INET, &raw, text, sizeof(text));
-  return std::string(text) + ":" + std::to_string(port);
+  std::array<char, INET_ADDRSTRLEN> text{};
+  ::inet_ntop(AF_INET, &raw, text.data(), text.size());
+  return std::string(text.data()) + ":" + std::to_string(port);
 }
 
 Endpoint parse_endpoint(const std::string& text) {
@@ -117,7 +117,7 @@
 }
 
 bool Connection::read(std::string& input) {
-  std::array<char, read_size> part;
+  std::array<char, read_size> part{};
   for (;;) {
     const ssize_t size = ::recv(socket_, part.data(), part.size(), 0);
     if (size > 0) input.append(part.data(), static_cast<std::size_t>(size));
@@ -128,7 +128,7 @@
 }
 
 bool Connection::read_with_time(std::string& input, std::int64_t& received_at) {
-  std::array<char, read_size> part;
+  std::array<char, read_size> part{};
   for (;;) {
     iovec bytes{part.data(), part.size()};
     alignas(cmsghdr) std::array<char, 256> control{};
--- a/tests/faults/verdict.cpp
+++ b/tests/faults/verdict.cpp
@@ -1,6 +1,7 @@
 #include "verdict.hpp"
 
 #include <algorithm>
+#include <array>
 #include <limits>
 #include <optional>
 
@@ -102,19 +103,21 @@
   }
 
   void add_violation(Rule rule, const RequestHistory& request, const std::string& what) {
-    char trace[17];
-    std::snprintf(trace, sizeof(trace), "%016llx", static_cast<unsigned long long>(request.trace));
+    std::array<char, 17> trace{};
+    std::snprintf(trace.data(), trace.size(), "%016llx", static_cast<unsigned long long>(request.trace));
     const std::uint32_t manager = request.sent ? request.sent->subject : 0;
     const std::uint32_t port = request.sent ? request.sent->port : 0;
-    verdict_.violations.push_back({rule, std::string(trace) + " at manager " + std::to_string(manager) +
-                                             " (client port " + std::to_string(port) + "): " + what});
+    verdict_.violations.push_back({rule, std::string(trace.data()) + " at manager " +
+                                             std::to_string(manager) + " (client port " +
+                                             std::to_string(port) + "): " + what});
   }
 
   void check_answers(const RequestHistory& request) {
     if (request.answers.size() > 1) add_violation(Rule::no_request_lost, request, "two answers");
-    for (const RunEvent& answer : request.answers)
+    for (const RunEvent& answer : request.answers) {
       if (answer.detail == answer_detail::wrong)
         add_violation(Rule::no_request_lost, request, "an answer that no engine made");
+    }
   }
 
   /// Every request that was sent and not abandoned has an answer, or its connection's end is accounted for.
--- a/tests/incidents/interrupted_send_test.cpp
+++ b/tests/incidents/interrupted_send_test.cpp
@@ -31,8 +31,7 @@
 
   /// Serves requests sent at `requested_at`, and checks the time granted to the engine against the client's.
   OnFrame check_deadlines(Clock::time_point requested_at) {
-    return [this, requested_at](CountingEngine& engine, Connection& connection,
-                                const engine_frames::Frame& frame) {
+    return [requested_at](CountingEngine& engine, Connection& connection, const engine_frames::Frame& frame) {
       if (is(frame, engine_frames::Command::request)) {
         const auto granted_ms =
             engine_frames::count_in(engine_frames::field(frame.fields, "ms").value_or(""));
--- a/tests/incidents/late_frames_test.cpp
+++ b/tests/incidents/late_frames_test.cpp
@@ -57,7 +57,7 @@
   connection.peer.answer(static_cast<std::uint8_t>(code), request_trace, fields, body);
 }
 
-Step sends_duplicate(Reply code, std::string fields = {}, std::string body = {}) {
+Step sends_duplicate(Reply code, const std::string& fields = {}, const std::string& body = {}) {
   return [=](CountingEngine&, Connection& connection) { send_duplicate(connection, code, fields, body); };
 }
 
