--- a/src/platform/discovery_watch.cpp
+++ b/src/platform/discovery_watch.cpp
@@ -173,7 +173,8 @@
   switch (received.status) {
     case IoStatus::progress:
       subscription.reader.feed({buffer.data(), received.bytes});
-      subscription.end = process_events(subscription);
+      // An event may have had more read meanwhile, and an end found there stays.
+      if (auto end = process_events(subscription)) subscription.end = std::move(end);
       break;
     case IoStatus::would_block:
       drained_at_ = began;
