Outlier detection: an engine is kept while its other attempts go on after a reset

Seen by callers: one of three connections to the only engine ended with four of twelve requests on it. The engine was ejected though it went on answering; two of the repeats waited and were refused after 3 s.

Cause: each attempt on the connection counted as a failure to reach the engine, and three failures eject it.

Now resets while others are in flight make the engine a worse choice only; its next answer takes them back, and a failed connect, a reset of what was sent later, or one after which nothing is in flight counts as before. Why it works: an engine that has ended resets all that it ran, so the last reset ejects it as early as before.

Four unit tests for both sides of the rule.

--- a/src/decision/engine_table.cpp
+++ b/src/decision/engine_table.cpp
@@ -29,6 +29,11 @@
   visitor.until(engine.overloaded_until);
   visitor.until(engine.slow_start_until);
   visitor.until(engine.ejected_until);
+  visit_integers(visitor, engine.has_unexplained_resets);
+  if (engine.has_unexplained_resets) {
+    visitor.since(engine.first_reset_at);
+    visitor.number(engine.failure_score_before_resets);
+  }
   visit_sequence(visitor, engine.slow_start_sends, [&](std::pair<double, double>& send) {
     visitor.since(send.first);
     visitor.number(send.second);
--- a/src/decision/engine_table.hpp
+++ b/src/decision/engine_table.hpp
@@ -50,6 +50,11 @@
   double ejection_time = initial_ejection_time;
   int probation_successes = 0;
   double overloaded_until = -1e9;  // it rejected an attempt: backoff
+  // Attempts were reset while others went on, and the engine has not answered since: one connection may have
+  // ended, or the engine. The further two fields hold while this one is set.
+  bool has_unexplained_resets = false;
+  double first_reset_at = 0;
+  double failure_score_before_resets = 0;
 
   // Slow start.
   double slow_start_until = -1e9;
--- a/src/decision/outlier_detector.cpp
+++ b/src/decision/outlier_detector.cpp
@@ -36,11 +36,14 @@
 
 void OutlierDetector::record_outcome(const Request& request, Attempt& attempt, AttemptResult result) {
   Engine& engine = state_.engines.at(attempt.engine);
+  const bool has_answered = result == AttemptResult::served || result == AttemptResult::engine_error ||
+                            result == AttemptResult::rejected;
+  if (has_answered) explain_resets(engine);
   switch (result) {
     case AttemptResult::served: record_success(engine); break;
     case AttemptResult::engine_error: record_error(request, attempt, engine); break;
-    case AttemptResult::connect_failed:
-    case AttemptResult::reset: record_failure(engine, "not reached"); break;
+    case AttemptResult::connect_failed: record_failure(engine, "not reached"); break;
+    case AttemptResult::reset: record_reset(attempt, engine); break;
     case AttemptResult::rejected: engine.overloaded_until = state_.now + overload_backoff; break;
     case AttemptResult::timed_out:
     case AttemptResult::cancelled:
@@ -63,6 +66,7 @@
 
 void OutlierDetector::record_restart(Engine& engine) {
   engine.failure_rate = 0;
+  engine.has_unexplained_resets = false;
   engine.overloaded_until = state_.now;
   if (engine.health == Health::ejected) engine.ejected_until = state_.now;
 }
@@ -149,6 +153,31 @@
   }
 }
 
+/// A connection that ends resets each attempt on it, and an engine that ends resets all. While others go on,
+/// the engine is kept: its next answer, or its next failure, tells which it was.
+void OutlierDetector::record_reset(const Attempt& attempt, Engine& engine) {
+  const bool others_go_on = engine.queries > 0;
+  const bool is_of_one_loss = !engine.has_unexplained_resets || attempt.sent_at <= engine.first_reset_at;
+  if (engine.health != Health::healthy || !others_go_on || !is_of_one_loss) {
+    record_failure(engine, "not reached");
+    return;
+  }
+  if (!engine.has_unexplained_resets) {
+    engine.has_unexplained_resets = true;
+    engine.first_reset_at = state_.now;
+    engine.failure_score_before_resets = failure_score(engine);
+  }
+  engine.last_answer_at = state_.now;
+  update_failure_rate(engine, Outcome::failure, outcome_weight);
+}
+
+/// The engine answers: the resets were of a connection alone, and count no more.
+void OutlierDetector::explain_resets(Engine& engine) {
+  if (!engine.has_unexplained_resets) return;
+  engine.has_unexplained_resets = false;
+  engine.failure_rate = std::min(engine.failure_rate, engine.failure_score_before_resets);
+}
+
 /// One outcome weighs more after a gap: where few are seen of an engine, each has to say more.
 void OutlierDetector::update_failure_rate(Engine& engine, Outcome outcome, double min_weight) {
   const double observed = outcome == Outcome::failure ? 1 : 0;
@@ -167,6 +196,7 @@
     if (engine.is_ready()) state_.fleet.unhealthy_engines += 1;
   }
   engine.health = Health::ejected;
+  engine.has_unexplained_resets = false;
   engine.ejected_until = state_.now + engine.ejection_time;
   engine.probation_successes = 0;
   for (auto& [id, request] : state_.requests) {
--- a/src/decision/outlier_detector.hpp
+++ b/src/decision/outlier_detector.hpp
@@ -44,6 +44,8 @@
   void record_success(Engine& engine);
   void record_failure(Engine& engine, const char* reason);
   void record_error(const Request& request, Attempt& attempt, Engine& engine);
+  void record_reset(const Attempt& attempt, Engine& engine);
+  static void explain_resets(Engine& engine);
   void update_failure_rate(Engine& engine, Outcome outcome, double min_weight);
   void eject(Engine& engine, const char* reason);
   void start_recovery(Engine& engine);
--- a/tests/decision/outlier_detector_test.cpp
+++ b/tests/decision/outlier_detector_test.cpp
@@ -2,6 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <deque>
+#include <utility>
+
 #include "decision_fixture.hpp"
 
 namespace paddlestand::decision {
@@ -38,6 +41,79 @@
   EXPECT_EQ(fixture.emitted<Log>().at(0).text, "engine 1 ejected: not reached");
 }
 
+/// An engine with a good record and so many attempts in flight, as the lifecycle counts them.
+class ResetAttempts : public ::testing::Test {
+ protected:
+  ResetAttempts() {
+    Request& served = add_attempt(fixture, ++last_request, 1);
+    fixture.outliers.record_outcome(served, served.attempts[0], AttemptResult::served);
+    fixture.state.now += 0.01;
+  }
+  void send(int attempts) {
+    for (int i = 0; i < attempts; ++i) in_flight.push_back(&add_attempt(fixture, ++last_request, 1));
+    engine.queries += attempts;
+  }
+  /// Ends so many of the attempts that were sent first.
+  void end(int attempts, AttemptResult result) {
+    for (int i = 0; i < attempts; ++i) {
+      Request& request = *in_flight.front();
+      in_flight.pop_front();
+      engine.queries -= 1;
+      fixture.outliers.record_outcome(request, request.attempts[0], result);
+    }
+  }
+
+  DecisionFixture fixture;
+  Engine& engine = fixture.add_engine(1);
+  std::deque<Request*> in_flight;
+  RequestId last_request = 0;
+};
+
+// Guards against ejecting an engine of which one connection with many attempts ended.
+TEST_F(ResetAttempts, EjectNoEngineWhoseOtherAttemptsGoOn) {
+  const double score_before = fixture.outliers.failure_score(engine);
+  send(10);
+  fixture.state.now += 0.01;
+  end(8, AttemptResult::reset);
+  EXPECT_EQ(engine.health, Health::healthy);
+  EXPECT_GT(fixture.outliers.failure_score(engine), score_before);
+
+  end(1, AttemptResult::served);
+  EXPECT_EQ(engine.health, Health::healthy);
+  EXPECT_LE(fixture.outliers.failure_score(engine), score_before);
+}
+
+// Guards against keeping an engine that has ended: all that it ran is reset.
+TEST_F(ResetAttempts, EjectAnEngineOfWhichNothingGoesOn) {
+  send(10);
+  fixture.state.now += 0.01;
+  end(10, AttemptResult::reset);
+  EXPECT_EQ(engine.health, Health::ejected);
+}
+
+// Guards against keeping an engine that can't be reached any more, while earlier attempts say nothing.
+TEST_F(ResetAttempts, AndAFailedConnectEjectTheEngine) {
+  send(10);
+  fixture.state.now += 0.01;
+  end(8, AttemptResult::reset);
+  Request& retry = add_attempt(fixture, ++last_request, 1);
+  fixture.outliers.record_outcome(retry, retry.attempts[0], AttemptResult::connect_failed);
+  EXPECT_EQ(engine.health, Health::ejected);
+}
+
+// Guards against keeping an engine that accepts connections and resets whatever it gets.
+TEST_F(ResetAttempts, EjectAnEngineThatResetsWhatIsSentLater) {
+  send(2);
+  fixture.state.now += 0.01;
+  end(1, AttemptResult::reset);
+  fixture.state.now += 0.01;
+  send(2);
+  fixture.state.now += 0.01;
+  std::swap(in_flight.front(), in_flight.back());
+  end(2, AttemptResult::reset);
+  EXPECT_EQ(engine.health, Health::ejected);
+}
+
 TEST(OutlierDetector, AnEjectedEngineComesBackByAProbeAndAProbation) {
   DecisionFixture fixture;
   Engine& engine = fixture.add_engine(1);
