Fault runs: profile "watch", in which sockets can't be added to epoll; rules epoll_add, epoll_modify

Adding a socket fails with ENOMEM, or with ENOSPC where the user's limit of watches is reached.

Changing a watch (EPOLL_CTL_MOD) is another case: Boost.Asio ignores that result.

--- a/tests/faults/call_faults.cpp
+++ b/tests/faults/call_faults.cpp
@@ -7,14 +7,14 @@
 ///   PADDLESTAND_FAULT_LOG    a file to which one line is appended for each connection that a rule breaks
 ///
 /// CALL is one of recv, send, accept, connect, socket, bind, listen, setsockopt, shutdown, close (of a stream
-/// socket), epoll_wait, open, read, fwrite, fopen, wall; or a send whose bytes begin with a frame to an
-/// engine: send_request, send_cancel, send_probe. ERROR is an errno by name, or
+/// socket), epoll_add, epoll_modify (epoll_ctl for a stream socket), epoll_wait, open, read, fwrite, fopen,
+/// wall; or a send whose bytes begin with a frame to an engine: send_request, send_cancel, send_probe. ERROR
+/// is an errno by name, or
 ///   short           recv, send, read: at most three bytes are requested
 ///   broken:ERRNO    recv, send: the connection first ends for both sides, as a broken one does
 ///   offset:SECONDS  wall: the clock is offset by so much while the rule holds
 ///   stop:MS         the process is stopped (SIGSTOP) just before the call, and resumed so much later; the
-///   call
-///                   is then made, or fails by a further rule
+///                   call is then made, or fails by a further rule
 #ifndef _GNU_SOURCE
 #define _GNU_SOURCE
 #endif
@@ -277,6 +277,15 @@
   return true;
 }
 
+bool is_stream_socket(int file) {
+  const int error_number = errno;
+  int type = 0;
+  socklen_t size = sizeof(type);
+  const bool is_stream = ::getsockopt(file, SOL_SOCKET, SO_TYPE, &type, &size) == 0 && type == SOCK_STREAM;
+  errno = error_number;
+  return is_stream;
+}
+
 /// The name that rules have for a send which begins with a frame to an engine; null: it begins with none.
 const char* frame_send_name(const void* bytes, std::size_t size) {
   constexpr unsigned char frame_mark = 128;
@@ -389,15 +398,19 @@
 
 int close(int file) {
   static const auto next = real<int (*)(int)>("close");
-  int type = 0;
-  socklen_t size = sizeof(type);
-  const int error_number = errno;
-  const bool is_stream = ::getsockopt(file, SOL_SOCKET, SO_TYPE, &type, &size) == 0 && type == SOCK_STREAM;
-  errno = error_number;
-  if (is_stream && fails("close", file, nullptr)) return -1;
+  if (is_stream_socket(file) && fails("close", file, nullptr)) return -1;
   return next(file);
 }
 
+int epoll_ctl(int epoll, int operation, int file, epoll_event* event) {
+  static const auto next = real<int (*)(int, int, int, epoll_event*)>("epoll_ctl");
+  const char* call = nullptr;
+  if (operation == EPOLL_CTL_ADD) call = "epoll_add";
+  if (operation == EPOLL_CTL_MOD) call = "epoll_modify";
+  if (call != nullptr && is_stream_socket(file) && fails(call, file, nullptr)) return -1;
+  return next(epoll, operation, file, event);
+}
+
 int epoll_wait(int epoll, epoll_event* events, int most, int wait_ms) {
   static const auto next = real<int (*)(int, epoll_event*, int, int)>("epoll_wait");
   if (fails("epoll_wait", -1, nullptr)) return -1;
--- a/tests/faults/profiles.cpp
+++ b/tests/faults/profiles.cpp
@@ -109,6 +109,12 @@
   return profile;
 }
 
+/// Sockets that can't be watched: no memory, or the user's limit of watches is reached.
+Profile watch(const std::string& name, std::mt19937_64&) {
+  return call_faults_only(name, {"epoll_add ENOMEM 0.3", "epoll_add ENOSPC 0.3; epoll_add ENOSPC 1 3 3.3",
+                                 "epoll_add ENOMEM 0.1; send short 0.3; recv short 0.3"});
+}
+
 Profile broken(const std::string& name, std::mt19937_64&) {
   return call_faults_only(name, {"recv broken:ETIMEDOUT 0.002; send broken:EHOSTUNREACH 0.002; "
                                  "recv short 0.3; send short 0.3"});
@@ -172,13 +178,14 @@
   Profile (*make)(const std::string& name, std::mt19937_64& random);
 };
 
-constexpr std::array<NamedProfile, 13> profiles{{
+constexpr std::array<NamedProfile, 14> profiles{{
     {"calm", calm},
     {"receive", receive},
     {"send", send},
     {"start", start},
     {"connect", connect},
     {"accept", accept},
+    {"watch", watch},
     {"broken", broken},
     {"clock", clock},
     {"shutdown", shutdown},
