PostgreSQL: the rest of a query is not sent after a stop during which its client may have left

Seen: a query began at its engine after its client had closed the connection, where the service was stopped (SIGSTOP) while a part of the query had been sent.

Cause: the first call that sends a query is guarded against a stop since the last look at the client; the calls for what the socket did not take at once were not.

Now every one of these calls is guarded. An outdated rest is given up with its connection as a local loss, which counts against no engine and lets the query be sent anew if its client is still there. Why it works: without its rest no query begins.

--- a/src/service/engine_channel.cpp
+++ b/src/service/engine_channel.cpp
@@ -149,6 +149,7 @@
   if (first.status == IoStatus::outdated) return std::nullopt;
   writing_ = std::move(bytes);
   written_ = first.bytes;
+  facts_as_of_ = facts_as_of;
   const IoStatus status = first.status == IoStatus::progress ? write_pending() : first.status;
   // The reader will find the same; reported now, since no complete query was written.
   if (status == IoStatus::ended) return core::WriteResult::failed;
@@ -157,10 +158,12 @@
   return core::WriteResult::partial;
 }
 
-/// Writes what is left of the query, until the socket takes no more or the connection has ended.
+/// Writes what is left of the query, until the socket takes no more, the connection has ended, or the process
+/// was stopped: the client may have left since, and without its rest the query does not begin.
 IoStatus EngineChannel::write_pending() {
   while (written_ < writing_.size()) {
-    const IoResult sent = socket_.send(std::string_view(writing_).substr(written_));
+    const IoResult sent =
+        socket_.send_unless_resumed(std::string_view(writing_).substr(written_), facts_as_of_);
     if (sent.status != IoStatus::progress) return sent.status;
     written_ += sent.bytes;
   }
@@ -179,6 +182,10 @@
     co_await socket_.wait_to_send(last);
     if (is_closed_) co_return;
     last = write_pending();
+    if (last == IoStatus::outdated) {
+      report_loss(core::ChannelLossReason::local);
+      co_return;
+    }
     if (last == IoStatus::ended) {
       report_loss(core::ChannelLossReason::closed);
       co_return;
--- a/src/service/engine_channel.hpp
+++ b/src/service/engine_channel.hpp
@@ -64,6 +64,7 @@
   pg::BackendConnection protocol_;
   std::string writing_;
   std::size_t written_ = 0;  // of writing_
+  ResumeCount facts_as_of_{};  // on which the query that is being written was sent
   std::size_t grant_updates_in_flight_ = 0;
   std::size_t reported_bytes_ = 0;  // of the buffered answer, that the core was notified of
   bool is_closed_ = false;
--- a/tests/faults/call_faults.cpp
+++ b/tests/faults/call_faults.cpp
@@ -8,8 +8,8 @@
 ///
 /// CALL is one of recv, send, accept, connect, socket, bind, listen, setsockopt, shutdown, close (of a stream
 /// socket), epoll_add, epoll_modify (epoll_ctl for a stream socket), epoll_wait, open, read, fwrite, fopen,
-/// wall; or a send whose bytes begin with a frame to an engine: send_request, send_cancel, send_probe. ERROR
-/// is an errno by name, or
+/// wall; or a send whose bytes begin with a frame to an engine: send_request, send_cancel, send_probe, or
+/// with a PostgreSQL query: send_query. ERROR is an errno by name, or
 ///   short           recv, send, read: at most three bytes are requested
 ///   broken:ERRNO    recv, send: the connection first ends for both sides, as a broken one does
 ///   offset:SECONDS  wall: the clock is offset by so much while the rule holds
@@ -286,11 +286,14 @@
   return is_stream;
 }
 
-/// The name that rules have for a send which begins with a frame to an engine; null: it begins with none.
+/// The name that rules have for a send which begins with a frame or a query to an engine; null: it begins
+/// with neither.
 const char* frame_send_name(const void* bytes, std::size_t size) {
   constexpr unsigned char frame_mark = 128;
+  constexpr unsigned char query_mark = 'Q';  // no message of a server to a client
   if (size < 2) return nullptr;
   const auto* begin = static_cast<const unsigned char*>(bytes);
+  if (begin[0] == query_mark) return "send_query";
   if (begin[0] != frame_mark) return nullptr;
   switch (begin[1]) {
     case 1: return "send_request";
--- a/tests/platform/manager_process.hpp
+++ b/tests/platform/manager_process.hpp
@@ -4,20 +4,14 @@
 #include <signal.h>
 
 #include <boost/process.hpp>
-#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 
 #include "peers.hpp"
+#include "tests/program_under_test.hpp"
 
 namespace paddlestand::platform::test {
 
-/// The path of `paddlestand`: the build's own, or another one to be tested by the same cases.
-inline std::string manager_program() {
-  const char* other = std::getenv("PADDLESTAND_PROGRAM");
-  return other == nullptr ? PADDLESTAND_PROGRAM_PATH : other;
-}
-
 /// The settings of one manager before some engines: three classes that differ in what a repeat may do.
 inline std::string process_config(const std::vector<std::uint16_t>& engines, std::uint16_t listen,
                                   std::uint16_t discovery_server, std::uint32_t max_descriptors = 256,
@@ -67,15 +61,10 @@
                 ("paddlestand-process-" + std::to_string(::getpid()) + "-" + std::to_string(port))) {
     std::filesystem::create_directories(folder_);
     std::ofstream(folder_ / "config.json") << config;
-    boost::process::environment environment = boost::this_process::environment();
-    if (!call_faults.empty()) {
-      environment["LD_PRELOAD"] = PADDLESTAND_FAULT_LIBRARY_PATH;
-      environment["PADDLESTAND_FAULTS"] = call_faults;
-      environment["ASAN_OPTIONS"] = "verify_asan_link_order=0:detect_leaks=0";
-    }
+    boost::process::environment environment = paddlestand::test::environment_with(call_faults);
     environment["PROXY_CONFIG"] = (folder_ / "config.json").string();
     process_ = boost::process::child(
-        manager_program(), "platform", "--trace", environment,
+        paddlestand::test::program_under_test(), "platform", "--trace", environment,
         boost::process::std_in<boost::process::null, boost::process::std_out> boost::process::null,
         boost::process::std_err > (folder_ / "log").string());
     ready_ = comes_true([this] { return answers_ready(); });
@@ -97,12 +86,7 @@
   void terminate() { ::kill(process_.id(), SIGTERM); }
   void resume() { ::kill(process_.id(), SIGCONT); }
   /// Whether it is stopped, by stop() or by itself.
-  [[nodiscard]] bool is_stopped() const {
-    std::ifstream in("/proc/" + std::to_string(process_.id()) + "/stat");
-    std::string field;
-    for (int i = 0; i < 3; ++i) in >> field;  // process id, name, state
-    return field == "T";
-  }
+  [[nodiscard]] bool is_stopped() const { return paddlestand::test::is_stopped(process_.id()); }
   [[nodiscard]] std::string log() const {
     std::ifstream in(folder_ / "log");
     return {std::istreambuf_iterator<char>(in), {}};
