Platform clients: times of input and partial messages in I/O-free modules of their own

client.cpp had grown large, and two of its decisions could be tested through sockets only: since when input may have been here (accepting, reading and the event loop may each be late), and when the rest of a message is overdue.

--- a/src/platform/client.cpp
+++ b/src/platform/client.cpp
@@ -30,10 +30,16 @@
 constexpr auto first_message_timeout = 2s;
 constexpr auto idle_timeout = 6s;  // clients close theirs after 4 s without an open request
 constexpr auto write_timeout = 4s;  // without any progress
-constexpr auto partial_message_idle_timeout = 2s;  // without a further byte of it
-constexpr auto partial_message_timeout = 6s;  // for all of a message: slow is not silent
 constexpr auto linger_timeout = 1s;  // for the client to close after this side was shut down
 
+ReadEnd read_end_of(IoStatus last) {
+  switch (last) {
+    case IoStatus::would_block: return ReadEnd::drained;
+    case IoStatus::retry_later: return ReadEnd::failing;
+    default: return ReadEnd::bounded;
+  }
+}
+
 }  // namespace
 
 Client::Client(const ClientContext& context, tcp::socket socket, std::uint64_t number, Duration waited)
@@ -45,7 +51,7 @@
       last_received_(host_.now()),
       last_used_(last_received_),
       last_write_progress_(last_received_),
-      accept_delay_(waited) {}
+      input_times_(waited) {}
 
 void Client::start() {
   service::spawn_with(host_.io(), [self = shared_from_this()] { return self->read_loop(); });
@@ -75,7 +81,7 @@
 core::CloseFacts Client::close_facts() {
   const std::size_t pending_requests = pending_messages_.is_empty() ? 0 : 1;
   return {open_requests_.size() + pending_requests, unwritten_bytes(), !may_have_input(),
-          partial_message_since_.has_value()};
+          partial_message_.exists()};
 }
 
 // A request that has arrived already is read and answered first; dropped, it would have no answer. One may
@@ -117,9 +123,9 @@
     return;
   }
   if (!is_open()) return;
-  if (is_message_overdue(now)) read_pending_input();  // the missing bytes may be here, unread
+  if (partial_message_.is_overdue(now)) read_pending_input();  // the missing bytes may be here, unread
   if (!is_open()) return;
-  if (is_message_overdue(now)) {
+  if (partial_message_.is_overdue(now)) {
     reject({}, {std::nullopt, jsonrpc::Code::parse_error, "the rest of a message did not come"});
     return;
   }
@@ -163,7 +169,7 @@
                                                 : "receive: " + last.error.message());
     return InputStatus::ended;
   }
-  note_delay(last.status, began);
+  input_times_.record_read(read_end_of(last.status), began, host_.now(), host_.event_loop_lag());
   if (received_bytes == 0) return InputStatus::drained;
   last_received_ = host_.now();
   if (is_open()) accept_received_lines();
@@ -194,38 +200,9 @@
   if (dropped_bytes_ > max_dropped_bytes) close("goes on writing behind its end");
 }
 
-void Client::note_delay(IoStatus last_status, TimePoint read_began) {
-  const TimePoint now = host_.now();
-  const Duration failing = receive_failing_since_ ? now - *receive_failing_since_ : Duration{};
-  const Duration delay = std::max({host_.event_loop_lag(), failing, accept_delay_});
-  // It was not here yet when the connection was last read to the end.
-  input_time_ = std::max(std::min(read_began, now - delay), input_drained_at_);
-  if (last_status == IoStatus::would_block) {
-    input_drained_at_ = read_began;  // the process may have been stopped since
-    receive_failing_since_.reset();
-    accept_delay_ = {};
-  } else if (last_status == IoStatus::retry_later && !receive_failing_since_) {
-    receive_failing_since_ = input_time_;  // the first failure may have been seen late itself
-  }
-}
-
-// The time limit of a partial message starts anew after each complete one.
-void Client::note_partial_message(bool completed_messages) {
-  if (!lines_.inside()) {
-    partial_message_since_.reset();
-  } else if (!partial_message_since_ || completed_messages) {
-    partial_message_since_ = last_received_;
-  }
-}
-
-bool Client::is_message_overdue(TimePoint now) const {
-  return partial_message_since_ && (now - last_received_ > partial_message_idle_timeout ||
-                                    now - *partial_message_since_ > partial_message_timeout);
-}
-
 void Client::accept_received_lines() {
   auto messages = complete_messages();
-  note_partial_message(!messages.empty());
+  partial_message_.record_input(lines_.inside(), !messages.empty(), last_received_);
   is_reading_ = true;  // examining messages reads other clients, and so might come back here
   accept(std::move(messages));
   is_reading_ = false;
@@ -285,7 +262,7 @@
     if (cancellation != nullptr && is_processing_messages_) {
       process(*cancellation);  // an attempt of what it names may be about to begin
     } else {
-      pending_messages_.push(std::move(message), input_time_);
+      pending_messages_.push(std::move(message), input_times_.arrived());
     }
   }
 }
--- a/src/platform/client.hpp
+++ b/src/platform/client.hpp
@@ -14,8 +14,10 @@
 
 #include "core/connection_policy.hpp"
 #include "core/types.hpp"
+#include "input_times.hpp"
 #include "message_batch.hpp"
 #include "output_buffer.hpp"
+#include "partial_message.hpp"
 #include "protocol/jsonrpc/calls.hpp"
 #include "service/socket_calls.hpp"
 
@@ -77,7 +79,7 @@
   /// Whether it ever sent a valid message.
   [[nodiscard]] bool has_sent_message() const { return has_sent_message_; }
   /// When its input was last read to the end.
-  [[nodiscard]] TimePoint input_drained_at() const { return input_drained_at_; }
+  [[nodiscard]] TimePoint input_drained_at() const { return input_times_.drained_at(); }
   /// When a message was last read or an answer written.
   [[nodiscard]] TimePoint last_used() const { return last_used_; }
   [[nodiscard]] std::size_t unwritten_bytes() const { return output_.size(); }
@@ -97,8 +99,6 @@
   boost::asio::awaitable<void> read_loop();
   InputStatus read_input();
   service::IoResult receive_available(std::size_t& received_bytes);
-  void note_delay(service::IoStatus last_status, TimePoint read_began);
-  void note_partial_message(bool completed_messages);
   void accept_received_lines();
   void process_pending_messages();
   void drop_input(std::size_t bytes);
@@ -112,7 +112,6 @@
   void process(const jsonrpc::CancelRequest& cancellation);
   void process(const jsonrpc::HealthCheck& health_check);
   void reject(const std::vector<jsonrpc::Message>& messages, const jsonrpc::Problem& problem);
-  [[nodiscard]] bool is_message_overdue(TimePoint now) const;
 
   // Output.
   service::IoStatus write_pending();
@@ -138,13 +137,8 @@
   TimePoint last_used_{};
   TimePoint last_write_progress_{};
   TimePoint ending_since_{};
-  TimePoint input_drained_at_{};
-  // When the input read last may have arrived at the earliest: accepting, reading and the event loop may each
-  // have been late. The time of acting on it would miss a stall in between.
-  TimePoint input_time_{};
-  std::optional<TimePoint> partial_message_since_;
-  std::optional<TimePoint> receive_failing_since_;
-  Duration accept_delay_;
+  InputTimes input_times_;
+  PartialMessage partial_message_;
   Phase phase_ = Phase::open;
   service::IoStatus last_receive_ = service::IoStatus::would_block;
   bool has_sent_message_ = false;
