Fault runs: a client's cancel waits for the rest of a message that it writes slowly

Cause, from the events and the manager's log: the client wrote one half of a request, then the cancel of another one, then the second half. The manager found "no JSON: syntax error", answered that and ended the connection, as it must; the judge counted the spoilt request. Where the manager is not stopped, the connection ends before the second half, and nothing is counted.

The cancel is now sent right after the second half. No check, bound, probability or draw has changed; bad messages are played by the wire tests and the fuzzers.

--- a/tests/faults/clients.cpp
+++ b/tests/faults/clients.cpp
@@ -342,7 +342,9 @@
     return connection.is_idle() && !connection.stays_idle && now - connection.last_used > idle_timeout;
   }
 
+  /// A cancel waits for the rest of a message that is being written: inside it, it would spoil both.
   void cancel_due(ClientConnection& connection, std::int64_t now) {
+    if (connection.delayed_write) return;
     for (auto& [id, open] : connection.open) {
       if (!open.cancel_at || now < *open.cancel_at || open.sent == 0 || open.cancelled) continue;
       open.cancelled = true;
