Review case 1: limits of a small deployment

Cause: the case used 64 MB and 1,024 descriptors. Change: 48 MB and 384 descriptors, 120 bad clients.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -7,10 +7,10 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib"))
 from peers import *
 
-MEMORY_MB = 64  # the page: 32 to 192 MB
-SOCKETS = 1024  # the page: 256 to 1,024 descriptors
-BAD_CLIENTS = 240  # with the usual ones under a third of the descriptors
-HALF_REQUEST = b'{"jsonrpc":"2.0","id":1,"method":"lookup","params":{"content":"' + b"A" * (40 * 1024)
+MEMORY_MB = 48  # the page: 32 to 192 MB
+SOCKETS = 384  # the page: 256 to 1,024 descriptors
+BAD_CLIENTS = 120  # with the usual ones under a third of the descriptors
+HALF_REQUEST = b'{"jsonrpc":"2.0","id":1,"method":"lookup","params":{"content":"' + b"A" * (54 * 1024)
 STATEMENT = "select '" + "x" * 66000 + "' from s_1.t"  # 88 KB as a line of the protocol
 PIECES = 40
 PIECE_SECONDS = 0.05  # the whole line is written within 2 s
--- a/review/lib/peers.py
+++ b/review/lib/peers.py
@@ -419,6 +419,8 @@
                 pass
 
     def reset(self):
+        if self.ended:
+            return
         sock = self.writer.get_extra_info("socket")
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         self.ended = True
@@ -455,6 +457,9 @@
                     waiting.set_result(message)
         except (OSError, ValueError):
             pass
+        self.give_up()
+
+    def give_up(self):
         self.ended = True
         for waiting in self.waiting.values():
             if not waiting.done():
@@ -491,6 +496,7 @@
 
     async def close(self):
         self.task.cancel()
+        self.give_up()
         self.writer.close()
         try:
             await self.writer.wait_closed()
