--- a/review/1/case.py
+++ b/review/1/case.py
@@ -75,6 +75,9 @@
             peak_kb = max(peak_kb, manager.memory_kb("RssAnon"))
             await asyncio.sleep(0.01)
         await asyncio.gather(*usual, *bad)
+        for line in manager.log_path.read_text().splitlines():
+            if "backlog_exceeded" in line:
+                record.add(f"manager's log: {line}")
         sent = {request.trace for engine in engines for request in engine.requests}
         record.add(f"engines got {len(sent)} requests; highest private memory {peak_kb} kB of {MEMORY_MB * 1024} kB")
         if manager.process.poll() is not None:
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -10,6 +10,7 @@
 SOCKETS = 1024  # the page: 256 to 1,024 descriptors
 BAD_CLIENTS = 320  # with the usual ones under a third of the descriptors
 USUAL_CLIENTS = 20
+WAVES = 5  # "or the same again as soon as it is turned away"
 HALF_REQUEST = b'{"jsonrpc":"2.0","id":1,"method":"lookup","params":{"content":"' + b"A" * (95 * 1024)
 
 
@@ -49,15 +50,22 @@
             await asyncio.sleep(0.1)
         await client.close()
 
-    async def bad_client():
-        """Sends half a request at full speed, and closes 1 s later."""
+    def bad_clients():
+        """Connect, send half a request each at full speed, and close 0.5 s later. Returns how many sent all of it."""
+        connections = []
+        sent = 0
         try:
-            _, writer = await asyncio.open_connection("127.0.0.1", manager.port)
-            writer.write(HALF_REQUEST)
-            await asyncio.sleep(1)
-            writer.close()
+            for _ in range(BAD_CLIENTS):
+                connections.append(socket.create_connection(("127.0.0.1", manager.port), timeout=2))
+            for connection in connections:
+                connection.sendall(HALF_REQUEST)
+                sent += 1
+            time.sleep(0.5)
         except OSError:
-            pass
+            pass  # closed by the manager, or it has ended
+        for connection in connections:
+            connection.close()
+        return sent
 
     try:
         if not await manager.wait_until_ready():
@@ -65,11 +73,15 @@
             return 2
         record.add(f"memory at rest: {manager.memory_kb('RssAnon')} kB")
         watch = asyncio.ensure_future(watch_memory())
-        usual = [asyncio.ensure_future(usual_client(now() + 4)) for _ in range(USUAL_CLIENTS)]
+        usual = [asyncio.ensure_future(usual_client(now() + 8)) for _ in range(USUAL_CLIENTS)]
         await asyncio.sleep(1)
-        if trouble:
-            record.add(f"{BAD_CLIENTS} bad clients send {len(HALF_REQUEST)} bytes of half a request each")
-            await asyncio.gather(*(bad_client() for _ in range(BAD_CLIENTS)))
+        for wave in range(1, WAVES + 1 if trouble else 0):
+            sent = await asyncio.to_thread(bad_clients)
+            record.add(f"wave {wave}: {sent} bad clients have sent {len(HALF_REQUEST)} bytes of half a request each; "
+                       f"highest memory so far {peak_kb} kB")
+            if killed:
+                break
+            await asyncio.sleep(0.5)
         await asyncio.gather(*usual)
         watch.cancel()
         ended = manager.process.poll()
