Short of buffers, clients that are owed answers keep their connections

Every other close asks core::may_close or answers first. Change: clients are turned away with an error, after an answer to each open request; first those that are owed nothing, then those without a valid message so far, then by size. A rejected client's half line is released at once.

--- a/src/observe/log_events.hpp
+++ b/src/observe/log_events.hpp
@@ -17,7 +17,7 @@
   client_stalled,  ///< a client does not read its answers
   login_timed_out,  ///< a client did not log in in time
   connection_aborted,  ///< a client's connection was closed inside a row
-  backlog_exceeded,  ///< buffers exceed their total limit; the client with the largest is closed
+  backlog_exceeded,  ///< buffers exceed their total limit; a client is turned away
   accept_failed,  ///< connections temporarily can't be accepted
   attempt_sent,  ///< an attempt was sent to an engine (with --trace)
   attempt_ended,  ///< an attempt ended (with --trace)
--- a/src/platform/client.cpp
+++ b/src/platform/client.cpp
@@ -314,9 +314,15 @@
   output_.append_finished(LineKind::notice);
 }
 
+void Client::turn_away(const std::string& reason) {
+  if (is_open()) reject({}, {std::nullopt, jsonrpc::ErrorCode::rejected, reason});
+}
+
 // Writes one error for each request that is open or was just received, then ends the connection.
 void Client::reject(const std::vector<jsonrpc::Message>& messages, const jsonrpc::Problem& problem) {
   context_.registry.log_rejection(*this, problem);
+  lines_.discard();
+  partial_message_ = {};
   std::map<std::int64_t, core::SessionId> open;
   open.swap(open_requests_);
   std::set<std::int64_t> answered;
--- a/src/platform/client.hpp
+++ b/src/platform/client.hpp
@@ -61,6 +61,8 @@
   /// messages is being processed, its disconnection and its cancellations take effect immediately, other
   /// messages after the current one.
   void read_pending_input();
+  /// Answers every open request as failed, reports the reason, and ends the connection gracefully.
+  void turn_away(const std::string& reason);
   /// Ends the connection if one of its time limits has passed.
   void check_timeouts(TimePoint now);
   /// Writes the line that answers a request; drops it if the request is no longer open.
@@ -83,6 +85,8 @@
   /// When a message was last read or an answer written.
   [[nodiscard]] TimePoint last_used() const { return last_used_; }
   [[nodiscard]] std::size_t unwritten_bytes() const { return output_.size(); }
+  /// Whether a request is open, or an answer is not completely written.
+  [[nodiscard]] bool is_owed_answers() const { return !is_idle(); }
   /// Bytes of buffered input and output.
   [[nodiscard]] std::size_t buffered_bytes() const { return unwritten_bytes() + lines_.buffered_bytes(); }
 
--- a/src/platform/client_registry.cpp
+++ b/src/platform/client_registry.cpp
@@ -18,6 +18,13 @@
   return std::tuple(!client.is_lingering(), client.has_sent_message(), client.last_used());
 }
 
+/// Sort key of the clients to turn away when memory is short: first those to which no answer is owed, then
+/// those without a valid message yet, then those with the largest buffers.
+auto holder_order(const Client& client) {
+  const auto bytes = static_cast<std::int64_t>(client.buffered_bytes());
+  return std::tuple(client.is_owed_answers(), client.has_sent_message(), -bytes);
+}
+
 }  // namespace
 
 ClientRegistry::ClientRegistry(PlatformHost& host, RequestHandler& requests, const jsonrpc::CallReader& calls,
@@ -59,21 +66,20 @@
   std::size_t buffered_bytes = 0;
   for (const auto& client : clients) buffered_bytes += client->buffered_bytes();
   for (const auto& client : clients) client->check_timeouts(now);
-  if (buffered_bytes > limits_.max_buffered_bytes) close_largest_holders(clients, buffered_bytes);
+  if (buffered_bytes > limits_.max_buffered_bytes) turn_away_holders(clients, buffered_bytes);
 }
 
-void ClientRegistry::close_largest_holders(Clients clients, std::size_t buffered_bytes) {
-  while (buffered_bytes > limits_.max_buffered_bytes && !clients.empty()) {
-    const auto largest = std::max_element(clients.begin(), clients.end(), [](const auto& a, const auto& b) {
-      return a->buffered_bytes() < b->buffered_bytes();
-    });
-    const std::size_t bytes = (*largest)->buffered_bytes();
-    if (bytes == 0) return;
-    buffered_bytes -= bytes;
+void ClientRegistry::turn_away_holders(Clients clients, std::size_t buffered_bytes) {
+  std::stable_sort(clients.begin(), clients.end(),
+                   [](const auto& a, const auto& b) { return holder_order(*a) < holder_order(*b); });
+  for (const auto& client : clients) {
+    if (buffered_bytes <= limits_.max_buffered_bytes) return;
+    const std::size_t bytes = client->buffered_bytes();
+    if (bytes == 0 || !client->is_open()) continue;
     host_.log().warn(observe::LogEvent::backlog_exceeded,
-                     {{Field::client, (*largest)->number()}, {Field::bytes, bytes}}, "connection closed");
-    (*largest)->close("largest buffers while memory limit exceeded");
-    clients.erase(largest);
+                     {{Field::client, client->number()}, {Field::bytes, bytes}}, "client turned away");
+    client->turn_away("buffers of all connections exceed the memory limit");
+    buffered_bytes -= bytes - client->buffered_bytes();
   }
 }
 
--- a/src/platform/client_registry.hpp
+++ b/src/platform/client_registry.hpp
@@ -24,7 +24,7 @@
   /// connection is closed to make room; if there is none, the new connection is closed unread.
   void accept(tcp::socket socket, Duration accept_delay);
   /// Ends the connections whose time limits have passed. If the buffers of all connections exceed the limit,
-  /// closes those with the largest buffers.
+  /// turns clients away, first those to which no answer is owed.
   void sweep(TimePoint now);
   /// Closes all idle connections gracefully.
   void finish_idle();
@@ -51,7 +51,7 @@
 
   bool make_room();
   [[nodiscard]] std::shared_ptr<Client> best_to_evict(const std::shared_ptr<Client>& excluded) const;
-  void close_largest_holders(Clients clients, std::size_t buffered_bytes);
+  void turn_away_holders(Clients clients, std::size_t buffered_bytes);
   [[nodiscard]] Clients all() const;
 
   PlatformHost& host_;
--- a/src/protocol/jsonrpc/calls.cpp
+++ b/src/protocol/jsonrpc/calls.cpp
@@ -250,10 +250,15 @@
   bytes_.append(bytes);
 }
 
-void LineSplitter::discard_oversized_line() {
-  too_long_ = true;
+void LineSplitter::discard() {
   std::string().swap(bytes_);
   next_line_ = 0;
+  searched_ = 0;
+}
+
+void LineSplitter::discard_oversized_line() {
+  too_long_ = true;
+  discard();
 }
 
 void LineSplitter::discard_returned_lines() {
--- a/src/protocol/jsonrpc/calls.hpp
+++ b/src/protocol/jsonrpc/calls.hpp
@@ -102,6 +102,8 @@
   std::optional<std::string_view> next();
   /// Whether a line exceeded the limit. No further input is buffered and no further line is returned.
   [[nodiscard]] bool too_long() const { return too_long_; }
+  /// Discards the buffered bytes and releases their memory.
+  void discard();
   /// Whether the buffer holds an incomplete line.
   [[nodiscard]] bool has_partial_line() const { return next_line_ < bytes_.size(); }
   /// The number of buffered bytes.
--- a/tests/incidents/incident_test.hpp
+++ b/tests/incidents/incident_test.hpp
@@ -23,6 +23,8 @@
   struct Conditions {
     int receive_buffer = 0;  // bytes, for each connection of the engines; zero for the system default
     std::uint32_t max_descriptors = 256;  // limit of the manager
+    std::uint32_t memory_mb = 64;  // limit of the manager
+    std::uint32_t streams_per_connection = 8;
     std::string call_faults{};  // rules of tests/faults/call_faults.cpp for the manager's system calls
   };
 
@@ -37,7 +39,9 @@
     for (const CountingEngine& current : engines_) ports.push_back(current.port());
     started_ = Clock::now();
     manager_ = std::make_unique<ManagerProcess>(
-        process_config(ports, port, discovery_listener_.port(), conditions_.max_descriptors), port,
+        process_config(ports, port, discovery_listener_.port(), conditions_.max_descriptors,
+                       conditions_.streams_per_connection, conditions_.memory_mb),
+        port,
         conditions_.call_faults);
     ASSERT_TRUE(manager_->ready());
     client_ = std::make_unique<RawClient>(port);
--- a/tests/platform/manager_process.hpp
+++ b/tests/platform/manager_process.hpp
@@ -15,7 +15,7 @@
 /// The configuration of a manager with the given engines and three classes that differ in idempotency.
 inline std::string process_config(const std::vector<std::uint16_t>& engines, std::uint16_t listen,
                                   std::uint16_t discovery_server, std::uint32_t max_descriptors = 256,
-                                  std::uint32_t streams_per_connection = 8) {
+                                  std::uint32_t streams_per_connection = 8, std::uint32_t memory_mb = 64) {
   const auto class_json = [](const char* name, const char* repeat, const char* more_members) {
     return std::string("{\"name\":\"") + name +
            "\",\"aim_ns\":3000000000,\"deadline_ns\":6000000000,\"gain\":1.0,\"late_value\":0.5,\"repeat\":"
@@ -32,8 +32,8 @@
                  "\"weight\":1,\"startedAtMs\":0}";
   }
   return R"({"name":"n0","listen":"127.0.0.1:)" + std::to_string(listen) +
-         R"(","seed":"10000041","limits":{"cores":1.0,"memory_mb":64,"sockets":)" +
-         std::to_string(max_descriptors) + R"(},"channel":"127.0.0.1:)" + std::to_string(discovery_server) +
+         R"(","seed":"10000041","limits":{"cores":1.0,"memory_mb":)" +
+         std::to_string(memory_mb) + R"(,"sockets":)" + std::to_string(max_descriptors) + R"(},"channel":"127.0.0.1:)" + std::to_string(discovery_server) +
          R"(","known":{"cursor":1,"cmds":[{"cursor":1,"nodes":{"generation":1,"reset":true,"instances":[)" +
          instances +
          R"(]}}]},"settings":{"balancers":1,"position":0,"az":0,"areas":["here"],"flavors":["std"],)"
@@ -80,6 +80,7 @@
 
   [[nodiscard]] bool ready() const { return ready_; }
   [[nodiscard]] std::uint16_t port() const { return port_; }
+  [[nodiscard]] pid_t id() const { return process_.id(); }
   /// Suspends the process until resume().
   void stop() { ::kill(process_.id(), SIGSTOP); }
   /// Requests a graceful shutdown.
--- a/tests/platform/sockets.hpp
+++ b/tests/platform/sockets.hpp
@@ -63,6 +63,11 @@
     }
     return true;
   }
+  /// Writes as much as the socket's buffer takes and returns how many bytes that were.
+  std::size_t write_available(std::string_view bytes) const {
+    const ssize_t sent = ::send(socket_, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    return sent > 0 ? static_cast<std::size_t>(sent) : 0;
+  }
   /// Waits for bytes and returns them, or an empty string if none arrive in time. Returns std::nullopt at the
   /// end of the connection.
   std::optional<std::string> read(int wait_ms = client_timeout_ms) const {
