Memory for half messages is granted before they are read

Cause: the bound on buffered bytes was looked at every 100 ms, after reading; each of 500 connections may hold 96 KiB, in up to twice as much memory. Change: InputBudget. Beyond 2 KiB a client needs a slot, a sixth of the memory has them; without one it is not read and waits. While clients wait, holders that have stopped sending are turned away (2 s down to 250 ms), none that is owed an answer. A pause counts against the deadline of what is read after it, not against the time limit of a message. Before an attempt its client is read in any case. Line buffers grow to the limit and not beyond. A connection is not evicted to make room while it sends. What clients do not read has a bound of its own: who has read nothing for 1 s is closed.

--- a/src/observe/log_fields.cpp
+++ b/src/observe/log_fields.cpp
@@ -10,7 +10,7 @@
 namespace paddlestand::observe {
 namespace {
 
-constexpr std::array<std::string_view, 36> names{
+constexpr std::array<std::string_view, 37> names{
     "address",
     "attempt",
     "attempts",
@@ -47,8 +47,9 @@
     "unmatched_frames",
     "violation",
     "violations",
+    "waiting_clients",
 };
-static_assert(names.size() == static_cast<std::size_t>(LogFieldName::violations) + 1);
+static_assert(names.size() == static_cast<std::size_t>(LogFieldName::waiting_clients) + 1);
 
 constexpr std::string_view plain_characters =
     "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789_.:/-";
--- a/src/observe/log_fields.hpp
+++ b/src/observe/log_fields.hpp
@@ -48,6 +48,7 @@
   unmatched_frames,  ///< number of frames that matched no open request
   violation,  ///< text: kind of a violation
   violations,  ///< number of violations
+  waiting_clients,  ///< number of clients that are not read until memory is available
 };
 
 /// The name of a field as written in the log.
--- a/src/platform/client.cpp
+++ b/src/platform/client.cpp
@@ -21,7 +21,8 @@
 
 namespace {
 
-constexpr std::size_t max_line_bytes = std::size_t{96} * 1024;  // fits the largest statement in base64
+constexpr std::size_t max_line_bytes = max_message_bytes;
+constexpr std::size_t max_bytes_without_slot = std::size_t{2} * 1024;
 constexpr std::size_t max_bytes_per_read = std::size_t{64} * 1024;  // per client and turn of the event loop
 constexpr std::size_t max_unwritten_lines = 128;  // for a client that does not read its answers
 constexpr std::size_t max_dropped_bytes =
@@ -53,6 +54,7 @@
       input_times_(accept_delay) {}
 
 void Client::start() {
+  is_read_loop_running_ = true;
   service::spawn_with(host_.io(), [self = shared_from_this()] { return self->read_loop(); });
 }
 
@@ -66,6 +68,8 @@
   std::map<std::int64_t, core::SessionId> open;
   open.swap(open_requests_);
   pending_messages_.clear();
+  lines_.discard();
+  release_slot();
   for (const auto& [id, session] : open) context_.requests.abandon(session);
   context_.registry.remove(*this);
 }
@@ -89,7 +93,7 @@
 void Client::finish_if_idle() {
   auto result = service::GuardedShutdown::outdated;
   while (result == service::GuardedShutdown::outdated) {
-    if (!is_open()) return;
+    if (!is_open() || paused_since_) return;
     const service::ResumeCount facts_as_of = service::ResumeMonitor::count();
     if (may_have_input()) read_pending_input();
     if (!is_open() || core::may_close(close_facts()) != core::CloseDecision::close) return;
@@ -123,7 +127,7 @@
     close("client does not read its answers");
     return;
   }
-  if (!is_open()) return;
+  if (!is_open() || paused_since_) return;
   if (partial_message_.is_overdue(now)) read_pending_input();  // the missing bytes may have arrived unread
   if (!is_open()) return;
   if (partial_message_.is_overdue(now)) {
@@ -141,27 +145,99 @@
   while (!is_closed()) {
     co_await socket_.wait_to_receive(last_receive_);
     if (is_closed()) co_return;
+    InputStatus status = read_input();
     // After each turn, a client that sends continuously yields to the others.
-    while (read_input() == InputStatus::more_available) {
+    while (status == InputStatus::more_available) {
       co_await asio::post(host_.io(), asio::use_awaitable);
       if (is_closed()) co_return;
+      status = read_input();
     }
+    if (status == InputStatus::paused) break;
   }
+  is_read_loop_running_ = false;
 }
 
 void Client::read_pending_input() {
-  if (is_closed() || is_reading_) return;
+  if (is_closed() || is_reading_ || paused_since_) return;
   const auto self = shared_from_this();
   read_input();
 }
 
+void Client::read_pending_input_beyond_limit() {
+  if (is_closed() || is_reading_) return;
+  if (is_open() && !slot_) {
+    context_.registry.input_budget().acquire_beyond_limit(input_priority());
+    resume_reading(input_priority());
+  }
+  read_pending_input();
+}
+
+// ---- Input slots ----
+
+InputBudget::Priority Client::input_priority() const {
+  if (is_owed_answers()) return InputBudget::Priority::has_open_requests;
+  return has_sent_message_ ? InputBudget::Priority::known : InputBudget::Priority::unknown;
+}
+
+// How many bytes may be read now. Input that is dropped requires no memory.
+std::size_t Client::readable_bytes() {
+  if (!is_open() || slot_) return max_bytes_per_read;
+  const InputBudget::Priority priority = input_priority();
+  if (!paused_since_ && context_.registry.input_budget().try_acquire(priority)) {
+    slot_ = priority;
+    return max_bytes_per_read;
+  }
+  return max_bytes_without_slot - std::min(max_bytes_without_slot, lines_.buffered_bytes());
+}
+
+void Client::pause_reading() {
+  if (paused_since_) return;
+  paused_since_ = host_.now();
+  input_times_.record_pause(*paused_since_, host_.event_loop_lag());
+  context_.registry.wait_for_slot(*this, input_priority());
+}
+
+void Client::end_pause() {
+  if (!paused_since_) return;
+  context_.registry.input_budget().remove(number_);
+  const TimePoint now = host_.now();
+  partial_message_.record_pause(*paused_since_, now);
+  last_received_ = now;
+  paused_since_.reset();
+}
+
+void Client::resume_reading(InputBudget::Priority slot) {
+  end_pause();
+  slot_ = slot;
+  if (is_read_loop_running_) return;
+  is_read_loop_running_ = true;
+  asio::post(host_.io(), [self = shared_from_this()] { self->start(); });
+}
+
+void Client::release_slot() {
+  end_pause();
+  if (!slot_) return;
+  context_.registry.input_budget().release(*slot_);
+  slot_.reset();
+  context_.registry.grant_slots();
+}
+
+void Client::release_slot_if_unused() {
+  if (slot_ && lines_.buffered_bytes() <= max_bytes_without_slot) release_slot();
+}
+
 // Reads all available input, up to a limit, before processing any of it, so that no work starts for a client
 // that sends a lot and disconnects.
 Client::InputStatus Client::read_input() {
   const TimePoint began = host_.now();
+  const std::size_t limit = readable_bytes();
+  if (limit == 0) {
+    pause_reading();
+    return paused_since_ ? InputStatus::paused : InputStatus::more_available;
+  }
   std::size_t received_bytes = 0;
   is_reading_ = true;
-  const IoResult last = receive_available(received_bytes);
+  const IoResult last = receive_available(limit, received_bytes);
   is_reading_ = false;
   if (is_closed()) return InputStatus::ended;
   last_receive_ = last.status;
@@ -171,18 +247,22 @@
     return InputStatus::ended;
   }
   input_times_.record_read(read_outcome_of(last.status), began, host_.now(), host_.event_loop_lag());
-  if (received_bytes == 0) return InputStatus::drained;
+  if (received_bytes == 0) {
+    release_slot_if_unused();
+    return InputStatus::drained;
+  }
   last_received_ = host_.now();
   if (is_open()) accept_received_lines();
+  release_slot_if_unused();
   process_pending_messages();
   if (is_closed()) return InputStatus::ended;
   return last.status == IoStatus::progress ? InputStatus::more_available : InputStatus::drained;
 }
 
-IoResult Client::receive_available(std::size_t& received_bytes) {
+IoResult Client::receive_available(std::size_t limit, std::size_t& received_bytes) {
   IoResult last;
-  while (received_bytes < max_bytes_per_read && !is_closed()) {
-    const auto scratch = host_.scratch().first(max_bytes_per_read - received_bytes);
+  while (received_bytes < limit && !is_closed()) {
+    const auto scratch = host_.scratch().first(limit - received_bytes);
     last = socket_.receive(scratch);
     if (last.status != IoStatus::progress) break;
     received_bytes += last.bytes;
@@ -323,6 +403,7 @@
   context_.registry.log_rejection(*this, problem);
   lines_.discard();
   partial_message_ = {};
+  release_slot();
   std::map<std::int64_t, core::SessionId> open;
   open.swap(open_requests_);
   std::set<std::int64_t> answered;
--- a/src/platform/client.hpp
+++ b/src/platform/client.hpp
@@ -13,6 +13,7 @@
 
 #include "core/connection_policy.hpp"
 #include "core/types.hpp"
+#include "input_budget.hpp"
 #include "input_times.hpp"
 #include "message_batch.hpp"
 #include "output_buffer.hpp"
@@ -59,8 +60,13 @@
   /// Reads and processes a bounded amount of available input, so that no work starts for a client that has
   /// disconnected and no connection is closed with an unread request. If called while one of the client's
   /// messages is being processed, its disconnection and its cancellations take effect immediately, other
-  /// messages after the current one.
+  /// messages after the current one. Does nothing while the connection waits for an input slot.
   void read_pending_input();
+  /// Like read_pending_input(), but reads the connection even if no input slot is available. For decisions
+  /// that must not be made without knowing whether the client has left.
+  void read_pending_input_beyond_limit();
+  /// Goes on reading, with the input slot that the connection has waited for.
+  void resume_reading(InputBudget::Priority slot);
   /// Answers every open request as failed, reports the reason, and ends the connection gracefully.
   void turn_away(const std::string& reason);
   /// Ends the connection if one of its time limits has passed.
@@ -87,6 +93,16 @@
   [[nodiscard]] std::size_t unwritten_bytes() const { return output_.size(); }
   /// Whether a request is open, or an answer is not completely written.
   [[nodiscard]] bool is_owed_answers() const { return !is_idle(); }
+  /// Whether it holds an input slot and has not sent anything since `limit` before `now`.
+  [[nodiscard]] bool is_stalled(TimePoint now, Duration limit) const {
+    return slot_ && partial_message_.exists() && now - last_received_ >= limit;
+  }
+  /// Whether a message was received in part.
+  [[nodiscard]] bool has_partial_message() const { return partial_message_.exists(); }
+  /// When input was last received.
+  [[nodiscard]] TimePoint last_received() const { return last_received_; }
+  /// When the client last read output, or output was first held for it.
+  [[nodiscard]] TimePoint last_write_progress() const { return last_write_progress_; }
   /// Bytes of buffered input and output.
   [[nodiscard]] std::size_t buffered_bytes() const { return unwritten_bytes() + lines_.buffered_bytes(); }
 
@@ -97,12 +113,23 @@
     lingering,  // waits for the client to close
     closed
   };
-  enum class InputStatus : std::uint8_t { drained, more_available, ended };
+  enum class InputStatus : std::uint8_t {
+    drained,
+    more_available,
+    paused,  // waits for an input slot
+    ended
+  };
 
   // Input.
   boost::asio::awaitable<void> read_loop();
   InputStatus read_input();
-  service::IoResult receive_available(std::size_t& received_bytes);
+  service::IoResult receive_available(std::size_t limit, std::size_t& received_bytes);
+  [[nodiscard]] std::size_t readable_bytes();
+  [[nodiscard]] InputBudget::Priority input_priority() const;
+  void pause_reading();
+  void end_pause();
+  void release_slot();
+  void release_slot_if_unused();
   void accept_received_lines();
   void process_pending_messages();
   void drop_input(std::size_t bytes);
@@ -143,10 +170,14 @@
   TimePoint ending_since_{};
   InputTimes input_times_;
   PartialMessage partial_message_;
+  std::optional<InputBudget::Priority>
+      slot_;  // the input slot it holds, by the priority it was acquired with
+  std::optional<TimePoint> paused_since_;  // while it waits for an input slot
   Phase phase_ = Phase::open;
   service::IoStatus last_receive_ = service::IoStatus::would_block;
   bool has_sent_message_ = false;
   bool is_write_loop_running_ = false;
+  bool is_read_loop_running_ = false;
   bool is_reading_ = false;
   bool is_processing_messages_ = false;
 };
--- a/src/platform/client_registry.cpp
+++ b/src/platform/client_registry.cpp
@@ -11,6 +11,9 @@
 namespace {
 
 constexpr auto rejection_log_period = std::chrono::seconds(1);
+constexpr auto backlog_log_period = std::chrono::milliseconds(100);
+constexpr auto sending_pause = std::chrono::seconds(1);  // between the bytes of a message
+constexpr auto non_reader_timeout = std::chrono::seconds(1);
 
 /// Sort key of eviction: lingering connections first, then those without a message yet, then the least
 /// recently used.
@@ -18,18 +21,24 @@
   return std::tuple(!client.is_lingering(), client.has_sent_message(), client.last_used());
 }
 
-/// Sort key of the clients to turn away when memory is short: first those to which no answer is owed, then
-/// those without a valid message yet, then those with the largest buffers.
-auto holder_order(const Client& client) {
-  const auto bytes = static_cast<std::int64_t>(client.buffered_bytes());
-  return std::tuple(client.is_owed_answers(), client.has_sent_message(), -bytes);
+/// Whether the client may be about to complete a message.
+bool is_sending(const Client& client, TimePoint now) {
+  return client.has_partial_message() && now - client.last_received() < sending_pause;
+}
+
+/// Sort key of the clients to turn away because they have stopped sending.
+auto stalled_order(const Client& client) {
+  return std::tuple(client.has_sent_message(), client.last_received());
 }
 
 }  // namespace
 
 ClientRegistry::ClientRegistry(PlatformHost& host, RequestHandler& requests, const jsonrpc::CallReader& calls,
                                const ServerLifecycle& lifecycle, const ResourceLimits& limits)
-    : host_(host), context_{host, requests, *this, calls, lifecycle}, limits_(limits) {}
+    : host_(host),
+      context_{host, requests, *this, calls, lifecycle},
+      limits_(limits),
+      input_budget_(limits.max_input_bytes, max_message_bytes) {}
 
 void ClientRegistry::accept(tcp::socket socket, Duration accept_delay) {
   if (clients_.size() >= limits_.max_clients && !make_room()) return;  // destroys, and so closes, the socket
@@ -53,9 +62,10 @@
 }
 
 std::shared_ptr<Client> ClientRegistry::best_to_evict(const std::shared_ptr<Client>& excluded) const {
+  const TimePoint now = host_.now();
   std::shared_ptr<Client> best;
   for (const auto& [number, client] : clients_) {
-    if (!client->is_idle() || client == excluded) continue;
+    if (!client->is_idle() || client == excluded || is_sending(*client, now)) continue;
     if (!best || eviction_order(*client) < eviction_order(*best)) best = client;
   }
   return best;
@@ -63,26 +73,77 @@
 
 void ClientRegistry::sweep(TimePoint now) {
   const Clients clients = all();
-  std::size_t buffered_bytes = 0;
-  for (const auto& client : clients) buffered_bytes += client->buffered_bytes();
   for (const auto& client : clients) client->check_timeouts(now);
-  if (buffered_bytes > limits_.max_buffered_bytes) turn_away_holders(clients, buffered_bytes);
+  turn_away_stalled(clients, now);
+  close_non_readers(clients, now);
 }
 
-void ClientRegistry::turn_away_holders(Clients clients, std::size_t buffered_bytes) {
-  std::stable_sort(clients.begin(), clients.end(),
-                   [](const auto& a, const auto& b) { return holder_order(*a) < holder_order(*b); });
+// Of the clients that hold an input slot and have stopped sending, those are turned away that have never sent
+// a valid message, and that are silent for longest.
+void ClientRegistry::turn_away_stalled(Clients clients, TimePoint now) {
+  const std::size_t queued = input_budget_.queued();
+  if (queued == 0) return;
+  const Duration limit = input_budget_.stall_limit(now);
+  const auto is_stalled = [&](const auto& client) {
+    return client->is_open() && !client->is_owed_answers() && client->is_stalled(now, limit);
+  };
+  std::erase_if(clients, [&](const auto& client) { return !is_stalled(client); });
+  std::sort(clients.begin(), clients.end(),
+            [](const auto& a, const auto& b) { return stalled_order(*a) < stalled_order(*b); });
+  if (clients.size() > queued) clients.resize(queued);
   for (const auto& client : clients) {
-    if (buffered_bytes <= limits_.max_buffered_bytes) return;
-    const std::size_t bytes = client->buffered_bytes();
-    if (bytes == 0 || !client->is_open()) continue;
-    host_.log().warn(observe::LogEvent::backlog_exceeded,
-                     {{Field::client, client->number()}, {Field::bytes, bytes}}, "client turned away");
-    client->turn_away("buffers of all connections exceed the memory limit");
-    buffered_bytes -= bytes - client->buffered_bytes();
+    client->read_pending_input();  // the missing bytes may have arrived unread
+    if (!is_stalled(client)) continue;
+    log_backlog(*client, client->buffered_bytes(), "incomplete message: client turned away");
+    client->turn_away("incomplete message: timed out while others wait for memory");
+  }
+}
+
+// Answers are cut off here, but only for clients that have read nothing for a while.
+void ClientRegistry::close_non_readers(Clients clients, TimePoint now) {
+  std::size_t excess = unwritten_bytes();
+  if (excess <= limits_.max_unwritten_bytes) return;
+  excess -= limits_.max_unwritten_bytes;
+  std::erase_if(clients, [&](const auto& client) {
+    return client->unwritten_bytes() == 0 || now - client->last_write_progress() < non_reader_timeout;
+  });
+  std::sort(clients.begin(), clients.end(),
+            [](const auto& a, const auto& b) { return a->last_write_progress() < b->last_write_progress(); });
+  for (const auto& client : clients) {
+    const std::size_t bytes = client->unwritten_bytes();
+    log_backlog(*client, bytes, "unread answers: connection closed");
+    client->close("does not read its answers while memory is short");
+    if (bytes >= excess) return;
+    excess -= bytes;
+  }
+}
+
+void ClientRegistry::wait_for_slot(const Client& client, InputBudget::Priority priority) {
+  input_budget_.enqueue(client.number(), priority, host_.now());
+  grant_slots();
+}
+
+void ClientRegistry::grant_slots() {
+  for (const InputBudget::Grant& grant : input_budget_.grant_available()) {
+    const auto found = clients_.find(grant.client);
+    if (found == clients_.end()) {
+      input_budget_.release(grant.priority);
+    } else {
+      found->second->resume_reading(grant.priority);
+    }
   }
 }
 
+void ClientRegistry::log_backlog(const Client& client, std::size_t bytes, std::string_view text) {
+  if (host_.now() < backlog_logged_at_ + backlog_log_period) return;
+  backlog_logged_at_ = host_.now();
+  host_.log().warn(observe::LogEvent::backlog_exceeded,
+                   {{Field::client, client.number()},
+                    {Field::bytes, bytes},
+                    {Field::waiting_clients, input_budget_.queued()}},
+                   text);
+}
+
 void ClientRegistry::finish_idle() {
   for (const auto& client : all()) client->finish_if_idle();
 }
--- a/src/platform/client_registry.hpp
+++ b/src/platform/client_registry.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "client.hpp"
+#include "input_budget.hpp"
 #include "resource_limits.hpp"
 
 namespace paddlestand::platform {
@@ -23,8 +24,9 @@
   /// Starts a connection that may have waited for `accept_delay` to be accepted. At the limit, an idle
   /// connection is closed to make room; if there is none, the new connection is closed unread.
   void accept(tcp::socket socket, Duration accept_delay);
-  /// Ends the connections whose time limits have passed. If the buffers of all connections exceed the limit,
-  /// turns clients away, first those to which no answer is owed.
+  /// Ends the connections whose time limits have passed. While clients wait for an input slot, turns away
+  /// those that hold one and do not send. Closes clients that do not read if unwritten answers exceed their
+  /// limit.
   void sweep(TimePoint now);
   /// Closes all idle connections gracefully.
   void finish_idle();
@@ -40,6 +42,11 @@
   // ---- For connections ----
 
   void remove(const Client& client) { clients_.erase(client.number()); }
+  [[nodiscard]] InputBudget& input_budget() { return input_budget_; }
+  /// Adds a connection to the queue for an input slot.
+  void wait_for_slot(const Client& client, InputBudget::Priority priority);
+  /// Gives available input slots to the connections that wait for one.
+  void grant_slots();
   void count_dropped(std::size_t bytes) { dropped_bytes_ += bytes; }
   /// Counts a connection that is closed because of a fault, and logs that at most once per second.
   void log_rejection(const Client& client, const jsonrpc::Problem& problem);
@@ -51,17 +58,21 @@
 
   bool make_room();
   [[nodiscard]] std::shared_ptr<Client> best_to_evict(const std::shared_ptr<Client>& excluded) const;
-  void turn_away_holders(Clients clients, std::size_t buffered_bytes);
+  void turn_away_stalled(Clients clients, TimePoint now);
+  void close_non_readers(Clients clients, TimePoint now);
+  void log_backlog(const Client& client, std::size_t bytes, std::string_view text);
   [[nodiscard]] Clients all() const;
 
   PlatformHost& host_;
   ClientContext context_;
   ResourceLimits limits_;
+  InputBudget input_budget_;
   std::map<std::uint64_t, std::shared_ptr<Client>> clients_;  // by number, in order of arrival
   std::uint64_t last_number_ = 0;
   std::size_t dropped_bytes_ = 0;
   std::uint64_t rejections_ = 0;
   TimePoint rejection_logged_at_{};
+  TimePoint backlog_logged_at_{};
 };
 
 }  // namespace paddlestand::platform
--- a/src/platform/input_times.hpp
+++ b/src/platform/input_times.hpp
@@ -25,6 +25,9 @@
   /// Records a read from `began` to `now`, in a turn of an event loop with the given lag.
   void record_read(ReadOutcome outcome, TimePoint began, TimePoint now, Duration event_loop_lag);
 
+  /// Records that the connection is not read from now on, until the next read that leaves no input.
+  void record_pause(TimePoint now, Duration event_loop_lag);
+
   /// The earliest time that the last input read may have arrived.
   [[nodiscard]] TimePoint arrived() const { return arrived_; }
   /// When the input was last read until none was left.
@@ -34,7 +37,7 @@
   Duration accept_delay_;
   TimePoint arrived_{};
   TimePoint drained_at_{};
-  std::optional<TimePoint> failing_since_;
+  std::optional<TimePoint> unread_since_;  // input may have been left unread since then
 };
 
 }  // namespace paddlestand::platform
--- a/src/platform/message_batch.hpp
+++ b/src/platform/message_batch.hpp
@@ -17,6 +17,9 @@
 
 class RequestHandler;
 
+/// The size of the largest message of a client, which fits the largest statement in base64.
+inline constexpr std::size_t max_message_bytes = std::size_t{96} * 1024;
+
 /// The requests and answers that the connection of a batch already holds.
 struct ConnectionLoad {
   std::map<std::int64_t, std::uint64_t> open_requests;  ///< trace id by request id
--- a/src/platform/partial_message.hpp
+++ b/src/platform/partial_message.hpp
@@ -1,6 +1,7 @@
 /// Time limits for a partially received message. No I/O, no clock.
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <optional>
 
@@ -15,24 +16,39 @@
   /// `completed_messages`: whether it completed other messages, which restarts the limits.
   void record_input(bool ends_inside, bool completed_messages, TimePoint received) {
     last_received_ = received;
+    if (received - resumed_ > backlog_read_time) idle_limit_ = idle_timeout;
     if (!ends_inside) {
       since_.reset();
     } else if (!since_ || completed_messages) {
       since_ = received;
     }
   }
+  /// Records that the connection was not read from `since` until `now`. The sender had that time to complete
+  /// the message; unless it proves to be still sending, the remainder is due sooner.
+  void record_pause(TimePoint since, TimePoint now) {
+    const Duration paused = now - since;
+    if (since_) *since_ += paused;
+    last_received_ = now;
+    resumed_ = now;
+    idle_limit_ = std::max<Duration>(min_idle_limit, idle_timeout - paused);
+  }
   [[nodiscard]] bool exists() const { return since_.has_value(); }
   /// Whether the remainder is overdue: no input has arrived for a while, or the message takes too long in
   /// total.
   [[nodiscard]] bool is_overdue(TimePoint now) const {
-    return since_ && (now - last_received_ > idle_timeout || now - *since_ > timeout);
+    return since_ && (now - last_received_ > idle_limit_ || now - *since_ > timeout);
   }
 
  private:
   static constexpr auto idle_timeout = std::chrono::seconds(2);
   static constexpr auto timeout = std::chrono::seconds(6);  // a slow sender gets more time than a silent one
 
+  static constexpr auto min_idle_limit = std::chrono::milliseconds(250);
+  static constexpr auto backlog_read_time = std::chrono::milliseconds(50);  // of what was sent during a pause
+
   std::optional<TimePoint> since_;
+  Duration idle_limit_ = idle_timeout;
+  TimePoint resumed_{};  // after the last pause
   TimePoint last_received_{};
 };
 
--- a/src/platform/platform_server.cpp
+++ b/src/platform/platform_server.cpp
@@ -25,7 +25,7 @@
       config_(std::move(config)),
       limits_(divide_limits(config_.limits)),
       calls_(config_.core.module.classes, config_.core.module.tenants),
-      requests_(*this, config_.core.module.classes, limits_.max_buffered_bytes),
+      requests_(*this, config_.core.module.classes, limits_.max_statement_bytes),
       clients_(*this, requests_, calls_, lifecycle_, limits_),
       engines_(
           *this, requests_, endpoints_, [this] { refresh_endpoints(); }, config_,
--- a/src/platform/request_handler.cpp
+++ b/src/platform/request_handler.cpp
@@ -84,7 +84,7 @@
 bool RequestHandler::is_trace_open(std::uint64_t trace) {
   const std::shared_ptr<Client> holder = requests_.client_of_trace(trace);
   if (holder == nullptr) return false;
-  holder->read_pending_input();
+  holder->read_pending_input_beyond_limit();
   return requests_.is_trace_open(trace);
 }
 
@@ -106,7 +106,7 @@
     const core::DispatchDecision decision = core::may_dispatch(facts);
     if (decision != core::DispatchDecision::read_client_first)
       return decision == core::DispatchDecision::dispatch;
-    client->read_pending_input();
+    client->read_pending_input_beyond_limit();
   }
 }
 
--- a/src/platform/resource_limits.cpp
+++ b/src/platform/resource_limits.cpp
@@ -7,7 +7,10 @@
 constexpr double default_memory_mb = 256;
 constexpr double bytes_per_mb = 1048576;
 constexpr std::size_t reserved_descriptors = 24;  // for event loop, log, listener and command channel
-constexpr std::size_t buffer_divisor = 8;  // buffers get 1/8 of the memory
+// The shares of the memory that buffers get.
+constexpr double input_share = 1.0 / 6;
+constexpr double statement_share = 1.0 / 8;
+constexpr double unwritten_share = 1.0 / 24;
 
 }  // namespace
 
@@ -19,7 +22,12 @@
   ResourceLimits limits;
   limits.max_clients = available / 2;
   limits.max_engine_connections = available - limits.max_clients;
-  limits.max_buffered_bytes = static_cast<std::size_t>(memory_mb * bytes_per_mb / buffer_divisor);
+  const auto share_of_memory = [&](double share) {
+    return static_cast<std::size_t>(memory_mb * bytes_per_mb * share);
+  };
+  limits.max_input_bytes = share_of_memory(input_share);
+  limits.max_statement_bytes = share_of_memory(statement_share);
+  limits.max_unwritten_bytes = share_of_memory(unwritten_share);
   return limits;
 }
 
--- a/src/platform/resource_limits.hpp
+++ b/src/platform/resource_limits.hpp
@@ -10,7 +10,9 @@
 struct ResourceLimits {
   std::size_t max_clients = 0;  ///< client connections
   std::size_t max_engine_connections = 0;
-  std::size_t max_buffered_bytes = 0;  ///< of clients' input and output; open statements get the same limit
+  std::size_t max_input_bytes = 0;  ///< of clients' incomplete messages
+  std::size_t max_statement_bytes = 0;  ///< of all open requests
+  std::size_t max_unwritten_bytes = 0;  ///< of lines that clients have not read
 };
 
 /// Divides the granted limits, using defaults for those that are not set.
--- a/src/protocol/jsonrpc/calls.cpp
+++ b/src/protocol/jsonrpc/calls.cpp
@@ -247,9 +247,21 @@
     next_line_ = 0;
     searched_ = 0;
   }
+  reserve_for(bytes.size());
   bytes_.append(bytes);
 }
 
+// Grows beyond the limit only for the lines that complete the unfinished one. std::string::reserve() would at
+// least double the memory, which hundreds of connections can't afford.
+void LineSplitter::reserve_for(std::size_t more_bytes) {
+  const std::size_t needed = bytes_.size() + more_bytes;
+  if (needed <= bytes_.capacity()) return;
+  std::string larger;
+  larger.reserve(std::max(needed, std::min(2 * bytes_.capacity(), max_bytes_)));
+  larger.append(bytes_);
+  bytes_ = std::move(larger);
+}
+
 void LineSplitter::discard() {
   std::string().swap(bytes_);
   next_line_ = 0;
@@ -265,7 +277,8 @@
   bytes_.erase(0, next_line_);
   next_line_ = 0;
   searched_ = bytes_.size();
-  if (bytes_.empty() && bytes_.capacity() > max_idle_capacity) bytes_.shrink_to_fit();
+  const bool is_mostly_unused = bytes_.capacity() > max_bytes_ || bytes_.size() < bytes_.capacity() / 4;
+  if (bytes_.capacity() > max_idle_capacity && is_mostly_unused) bytes_.shrink_to_fit();
 }
 
 std::optional<std::string_view> LineSplitter::next() {
--- a/src/protocol/jsonrpc/calls.hpp
+++ b/src/protocol/jsonrpc/calls.hpp
@@ -92,7 +92,8 @@
   const std::vector<TenantSettings>& tenants_;
 };
 
-/// Splits a byte stream into lines. Buffers at most one unfinished line of up to `max_bytes`.
+/// Splits a byte stream into lines. Buffers at most one unfinished line of up to `max_bytes`, in at most as
+/// much memory.
 class LineSplitter {
  public:
   explicit LineSplitter(std::size_t max_bytes) : max_bytes_(max_bytes) {}
@@ -108,8 +109,11 @@
   [[nodiscard]] bool has_partial_line() const { return next_line_ < bytes_.size(); }
   /// The number of buffered bytes.
   [[nodiscard]] std::size_t buffered_bytes() const { return bytes_.size(); }
+  /// The size of the buffer's memory.
+  [[nodiscard]] std::size_t allocated_bytes() const { return bytes_.capacity(); }
 
  private:
+  void reserve_for(std::size_t more_bytes);
   void discard_oversized_line();
   void discard_returned_lines();
 
--- a/tests/platform/jsonrpc_test.cpp
+++ b/tests/platform/jsonrpc_test.cpp
@@ -194,6 +194,25 @@
   EXPECT_EQ(lines.buffered_bytes(), 0U);
 }
 
+TEST(Lines, AnUnfinishedLineTakesNoMoreMemoryThanItsLimit) {
+  constexpr std::size_t max_bytes = std::size_t{96} * 1024;
+  jsonrpc::LineSplitter lines(max_bytes);
+  const std::string piece(2000, 'x');
+  for (std::size_t bytes = 0; bytes + piece.size() <= max_bytes; bytes += piece.size()) {
+    lines.feed(piece);
+    EXPECT_EQ(lines.next(), std::nullopt);
+    EXPECT_LE(lines.allocated_bytes(), max_bytes);
+  }
+  lines.feed("\n" + std::string(64 * 1024, 'x'));
+  EXPECT_TRUE(lines.next());
+  EXPECT_EQ(lines.next(), std::nullopt);
+  EXPECT_LE(lines.allocated_bytes(), max_bytes);
+  lines.feed("\nab");
+  EXPECT_TRUE(lines.next());
+  EXPECT_EQ(lines.next(), std::nullopt);
+  EXPECT_LE(lines.allocated_bytes(), 16U * 1024);
+}
+
 TEST(Calls, AnswersAreOneLineEach) {
   std::string out;
   jsonrpc::put_result(out, 7, "a\tb\tc\n");
--- a/tests/platform/manager_process.hpp
+++ b/tests/platform/manager_process.hpp
@@ -32,8 +32,9 @@
                  "\"weight\":1,\"startedAtMs\":0}";
   }
   return R"({"name":"n0","listen":"127.0.0.1:)" + std::to_string(listen) +
-         R"(","seed":"10000041","limits":{"cores":1.0,"memory_mb":)" +
-         std::to_string(memory_mb) + R"(,"sockets":)" + std::to_string(max_descriptors) + R"(},"channel":"127.0.0.1:)" + std::to_string(discovery_server) +
+         R"(","seed":"10000041","limits":{"cores":1.0,"memory_mb":)" + std::to_string(memory_mb) +
+         R"(,"sockets":)" + std::to_string(max_descriptors) + R"(},"channel":"127.0.0.1:)" +
+         std::to_string(discovery_server) +
          R"(","known":{"cursor":1,"cmds":[{"cursor":1,"nodes":{"generation":1,"reset":true,"instances":[)" +
          instances +
          R"(]}}]},"settings":{"balancers":1,"position":0,"az":0,"areas":["here"],"flavors":["std"],)"
@@ -80,7 +81,14 @@
 
   [[nodiscard]] bool ready() const { return ready_; }
   [[nodiscard]] std::uint16_t port() const { return port_; }
-  [[nodiscard]] pid_t id() const { return process_.id(); }
+  /// The highest amount of memory that the process has occupied so far, in kB, files included.
+  [[nodiscard]] std::size_t peak_memory_kb() const {
+    std::ifstream status("/proc/" + std::to_string(process_.id()) + "/status");
+    const std::string name = "VmHWM:";
+    for (std::string line; std::getline(status, line);)
+      if (line.starts_with(name)) return std::stoul(line.substr(name.size()));
+    return 0;
+  }
   /// Suspends the process until resume().
   void stop() { ::kill(process_.id(), SIGSTOP); }
   /// Requests a graceful shutdown.
