A request for which there is no memory is refused alone

Callers would see: a request that exceeds the bound on statements of all open requests failed what else its client had open, and ended the connection. Change: checked where the request is opened; it alone is refused. Each open request counts 1 KiB for its records, and a quarter of the bound is for clients with nothing else open.

--- a/src/platform/client.cpp
+++ b/src/platform/client.cpp
@@ -366,7 +366,14 @@
   }
 }
 
+// A shortage of memory is no fault of the client: its connection and its other requests go on.
 void Client::process(jsonrpc::Query query, TimePoint received) {
+  if (!context_.requests.has_capacity_for(query.statement.size(), !open_requests_.empty())) {
+    jsonrpc::put_error(output_.text(), query.id, jsonrpc::ErrorCode::rejected,
+                       "too many bytes in statements of open requests");
+    output_.append_finished(LineKind::answer);
+    return;
+  }
   const core::SessionId session = context_.requests.next_session();
   open_requests_.emplace(query.id, session);
   context_.requests.submit(shared_from_this(), session, std::move(query), received);
--- a/src/platform/message_batch.cpp
+++ b/src/platform/message_batch.cpp
@@ -41,9 +41,6 @@
   // Requests whose answers the client has not read still count as open.
   if (load_.open_requests.size() + load_.unwritten_answers > max_open_requests)
     return problem(jsonrpc::ErrorCode::rejected, "too many open requests on this connection: at most 32");
-  load_.pending_statement_bytes += query.statement.size();
-  if (!requests_.has_capacity_for(load_.pending_statement_bytes))
-    return problem(jsonrpc::ErrorCode::rejected, "too many bytes in statements of open requests");
   load_.last_id = query.id;
   return std::nullopt;
 }
@@ -84,7 +81,6 @@
     if (query == nullptr) continue;
     load.open_requests.emplace(query->id, query->trace);
     load.pending_traces.insert(query->trace);
-    load.pending_statement_bytes += query->statement.size();
   }
 }
 
--- a/src/platform/message_batch.hpp
+++ b/src/platform/message_batch.hpp
@@ -26,7 +26,6 @@
   std::set<std::uint64_t> pending_traces;  ///< of requests that were read but not processed yet
   std::int64_t last_id = 0;  ///< the highest request id used so far
   std::size_t unwritten_answers = 0;
-  std::size_t pending_statement_bytes = 0;  ///< of requests that were read but not processed yet
 };
 
 /// Checks the requests of a batch against each other and against those already open.
--- a/src/platform/request_handler.hpp
+++ b/src/platform/request_handler.hpp
@@ -39,8 +39,10 @@
   [[nodiscard]] std::optional<std::uint64_t> trace_of(core::SessionId session) const {
     return requests_.trace_of(session);
   }
-  /// Whether statements with `bytes` more bytes fit the limit.
-  [[nodiscard]] bool has_capacity_for(std::size_t bytes) const { return requests_.has_capacity_for(bytes); }
+  /// Whether one more statement of this size fits the limit (RequestTable::has_capacity_for).
+  [[nodiscard]] bool has_capacity_for(std::size_t statement_bytes, bool client_has_open_requests) const {
+    return requests_.has_capacity_for(statement_bytes, client_has_open_requests);
+  }
   /// Logs how many requests a client's cancellation matched.
   void log_cancellation(std::size_t requests);
 
--- a/src/platform/request_table.hpp
+++ b/src/platform/request_table.hpp
@@ -30,7 +30,7 @@
 /// Owns the open requests. Pointers to them stay valid until they are removed.
 class RequestTable {
  public:
-  /// `max_statement_bytes`: limit for the statements of all open requests.
+  /// `max_statement_bytes`: limit for the statements of all open requests, with the records about them.
   explicit RequestTable(std::size_t max_statement_bytes) : max_statement_bytes_(max_statement_bytes) {}
 
   /// Adds a request under an unused session number, and opens its trace id.
@@ -48,12 +48,18 @@
   [[nodiscard]] std::shared_ptr<Client> client_of_trace(std::uint64_t trace) const;
   /// Whether a request that was not abandoned has this trace id.
   [[nodiscard]] bool is_trace_open(std::uint64_t trace) const { return sessions_by_trace_.contains(trace); }
-  /// Whether statements with `bytes` more bytes fit the limit.
-  [[nodiscard]] bool has_capacity_for(std::size_t bytes) const {
-    return statement_bytes_ + bytes <= max_statement_bytes_;
+  /// Whether one more statement of this size fits the limit. A part of the limit is reserved for clients that
+  /// have no other request open.
+  [[nodiscard]] bool has_capacity_for(std::size_t statement_bytes, bool client_has_open_requests) const {
+    const std::size_t reserve = client_has_open_requests ? max_statement_bytes_ / reserve_divisor : 0;
+    const std::size_t needed = statement_bytes + bytes_per_request;
+    return statement_bytes_ + requests_.size() * bytes_per_request + needed + reserve <= max_statement_bytes_;
   }
 
  private:
+  static constexpr std::size_t bytes_per_request = 1024;  // of the records about an open request
+  static constexpr std::size_t reserve_divisor = 4;
+
   void close_trace(std::uint64_t trace, core::SessionId session);
 
   std::unordered_map<core::SessionId, ClientRequest> requests_;
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -242,6 +242,34 @@
   EXPECT_EQ(fourth.outcome(), "served:d\te\tf\n");
 }
 
+// Guards against failing a client's open requests because there is no memory for one more.
+TEST_F(PlatformServerTest, ARequestBeyondTheSizeOfStatementsIsRefusedAlone) {
+  PlatformConfig settings = config();
+  settings.limits.memory_mb = 1;  // allows 128 KiB of statements
+  RunningServer server(std::move(settings));
+  RawClient client(server.port());
+  const std::string large = base64("SELECT '" + std::string(60'000, 'x') + "'");
+  const std::string small = base64("SELECT 1 FROM a_1.b");
+  const auto large_line = [&](int id, std::uint64_t trace) {
+    std::string text = RawClient::request_line(id, trace);
+    return text.replace(text.find(small), small.size(), large);
+  };
+
+  client.wire().write(large_line(1, 0x35));
+  EnginePeer engine(engine_listeners_[0]);
+  ASSERT_TRUE(engine.next());
+  client.wire().write(large_line(2, 0x36));
+  EXPECT_EQ(client.outcome(), "error:-32001");
+  EXPECT_EQ(client.last_id(), 2);
+
+  engine.answer(0, 0x35, "parts=1", "a\tb\tc\n");
+  EXPECT_EQ(client.outcome(), "served:a\tb\tc\n");
+  client.send_request(3, 0x37);
+  ASSERT_TRUE(engine.next());
+  engine.answer(0, 0x37, "parts=1", "d\te\tf\n");
+  EXPECT_EQ(client.outcome(), "served:d\te\tf\n");
+}
+
 TEST_F(PlatformServerTest, AnOpenRequestIsNotAffectedByAnotherClientsUseOfItsTrace) {
   RunningServer server(config());
   RawClient regular_client(server.port()), other(server.port());
