A rejected client with unread answers still gets one for each open request

Callers would see: a client with a request running and 96 KiB of answers unread sends an invalid message, and its connection ends with no answer to the request. Cause: Client::reject wrote no error line while 96 KiB of output were held. The test's way to make a client that does not read is shared with ACancellationIsReadDespiteUnreadAnswers, whose expectations are as they were. Result: OpenRequestsAreAnsweredDespiteUnreadAnswersBeforeAnInvalidMessage failed before (request 1) and passes.

--- a/src/platform/client.cpp
+++ b/src/platform/client.cpp
@@ -416,7 +416,6 @@
   std::set<std::int64_t> answered;
   const auto put_error = [&](std::optional<std::int64_t> id, jsonrpc::ErrorCode code,
                              const std::string& text) {
-    if (output_.held_bytes() >= max_line_bytes) return;
     if (id && !answered.insert(*id).second) return;
     jsonrpc::put_error(output_.text(), id, code, text);
   };
--- a/tests/platform/client_close_test.cpp
+++ b/tests/platform/client_close_test.cpp
@@ -1,6 +1,8 @@
 // Closing of client connections by either side: pending output is delivered, late input is not processed, and
 // a disconnected client causes no further work. The peers force the order of events; no test depends on
 // timing.
+#include <deque>
+
 #include "peers.hpp"
 
 namespace paddlestand::platform::test {
@@ -10,7 +12,47 @@
 
 class ClientCloseTest : public PlatformServerTest {
  protected:
+  /// Sends a request after `last_id` and answers it with a line of 64 KB that the client does not read.
+  /// Returns its id.
+  int answer_large_request(RunningServer& server, RawClient& client, unsigned first_trace, int last_id) {
+    const int id = last_id + 1;
+    const std::size_t open_requests = server.counts().sessions;
+    client.send_request(id, first_trace + static_cast<unsigned>(id));
+    std::optional<engine_frames::Frame> request;
+    EnginePeer* engine = nullptr;
+    EXPECT_TRUE(wait_until([&] {
+      if (EnginePeer peer(engine_listeners_[0], 1); peer.is_open())
+        answering_engines_.push_back(std::move(peer));
+      for (EnginePeer& peer : answering_engines_) {
+        request = peer.next(1);
+        engine = &peer;
+        if (request && request->code == 1) return true;
+      }
+      return false;
+    }));
+    if (!request) return id;
+    std::string page;
+    while (page.size() < 5900) page += "0123456789\t0123456789\t0123456789\n";
+    engine->answer(0, request->id, "parts=8", page);
+    for (int number = 1; number < 8; ++number)
+      engine->answer(9, request->id, "part_no=" + std::to_string(number), page);
+    EXPECT_TRUE(wait_until([&] { return server.counts().sessions == open_requests; }));
+    return id;
+  }
+  /// Answers requests with ids from 2 until the server holds this many bytes; the rest is in socket buffers.
+  /// Returns the last id.
+  int answer_unread_requests(RunningServer& server, RawClient& client, unsigned first_trace,
+                             std::size_t bytes) {
+    int id = 1;
+    while (server.unread_bytes() < bytes && id < 200)
+      id = answer_large_request(server, client, first_trace, id);
+    return id;
+  }
+
   std::vector<EnginePeer> idle_engines_;
+
+ private:
+  std::deque<EnginePeer> answering_engines_;
 };
 
 // The manager closes a connection with unread input. Closing the socket directly would reset the connection.
@@ -185,36 +227,12 @@
 TEST_F(ClientCloseTest, ACancellationIsReadDespiteUnreadAnswers) {
   RunningServer server(config());
   RawClient client(server.port());
-  std::string page;
 
-  while (page.size() < 5900) page += "0123456789\t0123456789\t0123456789\n";
   client.send_request(1, 0x51);
   EnginePeer held_engine(engine_listeners_[0]);
   ASSERT_TRUE(held_engine.next());
 
-  // Each answer is a line of 64 KB; what exceeds the socket buffers stays in the manager.
-  int id = 1;
-  std::vector<EnginePeer> peers;
-  while (server.unread_bytes() < std::size_t{600} * 1024 && id < 200) {
-    ++id;
-    client.send_request(id, 0x51U + static_cast<unsigned>(id));
-    std::optional<engine_frames::Frame> request;
-    EnginePeer* answering_peer = nullptr;
-    EXPECT_TRUE(wait_until([&] {
-      if (EnginePeer peer(engine_listeners_[0], 1); peer.is_open()) peers.push_back(std::move(peer));
-      for (EnginePeer& peer : peers) {
-        request = peer.next(1);
-        answering_peer = &peer;
-        if (request && request->code == 1) return true;
-      }
-      return false;
-    }));
-    ASSERT_TRUE(request);
-    answering_peer->answer(0, request->id, "parts=8", page);
-    for (int number = 1; number < 8; ++number)
-      answering_peer->answer(9, request->id, "part_no=" + std::to_string(number), page);
-    EXPECT_TRUE(wait_until([&] { return server.counts().sessions == 1; }));
-  }
+  answer_unread_requests(server, client, 0x51, std::size_t{600} * 1024);
   client.wire().write(cancel_line(0x51));
   const auto cancel = held_engine.next();
   ASSERT_TRUE(cancel);
@@ -222,6 +240,24 @@
   EXPECT_EQ(cancel->id, 0x51U);
 }
 
+// Guards against dropping the answers to open requests when a client with unread answers sends an invalid
+// message.
+TEST_F(ClientCloseTest, OpenRequestsAreAnsweredDespiteUnreadAnswersBeforeAnInvalidMessage) {
+  RunningServer server(config());
+  RawClient client(server.port());
+
+  client.send_request(1, 0x51);
+  EnginePeer held_engine(engine_listeners_[0]);
+  ASSERT_TRUE(held_engine.next());
+
+  const int last_id = answer_unread_requests(server, client, 0x51, std::size_t{600} * 1024);
+  client.wire().write("noise\n");
+  std::set<std::int64_t> answered;
+  for (std::string outcome = client.outcome(); outcome != "nothing"; outcome = client.outcome())
+    answered.insert(client.last_id());
+  for (int id = 1; id <= last_id; ++id) EXPECT_TRUE(answered.contains(id)) << id;
+}
+
 // An answer, a cancellation, an invalid message and the client's close arrive in one turn of the event loop,
 // in every order: the server keeps running, releases all resources and serves the next client.
 TEST_F(ClientCloseTest, EventsOfOneTurnMayArriveInAnyOrder) {
