Results that a client does not read become errors at the bound on unread answers

Change: at the bound a result for a client that has not read the one before becomes an error (failed). At twice the bound clients that have read nothing for 1 s are closed. The time limit for reading begins when output is first held.

--- a/src/platform/client.cpp
+++ b/src/platform/client.cpp
@@ -439,6 +439,11 @@
 void Client::answer(std::int64_t request, std::string line) {
   if (is_closed() || open_requests_.erase(request) == 0) return;
   last_used_ = host_.now();
+  if (!output_.is_empty() && !context_.registry.has_capacity_for_output(line.size())) {
+    line.clear();
+    jsonrpc::put_error(line, request, jsonrpc::ErrorCode::failed,
+                       "result discarded: earlier answers are not read");
+  }
   output_.append(std::move(line), LineKind::answer);
   flush();
 }
@@ -466,6 +471,7 @@
     return;
   }
   is_write_loop_running_ = true;
+  last_write_progress_ = host_.now();  // the time limit starts with the output
   service::spawn_with(host_.io(), [self = shared_from_this()] { return self->write_loop(); });
 }
 
--- a/src/platform/client_registry.cpp
+++ b/src/platform/client_registry.cpp
@@ -99,11 +99,13 @@
   }
 }
 
-// Answers are cut off here, but only for clients that have read nothing for a while.
+// Beyond the limit, results are replaced by short errors (Client::answer). Only if that is not enough,
+// answers are cut off, for clients that have read nothing for a while.
 void ClientRegistry::close_non_readers(Clients clients, TimePoint now) {
+  const std::size_t hard_limit = 2 * limits_.max_unwritten_bytes;
   std::size_t excess = unwritten_bytes();
-  if (excess <= limits_.max_unwritten_bytes) return;
-  excess -= limits_.max_unwritten_bytes;
+  if (excess <= hard_limit) return;
+  excess -= hard_limit;
   std::erase_if(clients, [&](const auto& client) {
     return client->unwritten_bytes() == 0 || now - client->last_write_progress() < non_reader_timeout;
   });
--- a/src/platform/client_registry.hpp
+++ b/src/platform/client_registry.hpp
@@ -25,8 +25,8 @@
   /// connection is closed to make room; if there is none, the new connection is closed unread.
   void accept(tcp::socket socket, Duration accept_delay);
   /// Ends the connections whose time limits have passed. While clients wait for an input slot, turns away
-  /// those that hold one and do not send. Closes clients that do not read if unwritten answers exceed their
-  /// limit.
+  /// those that hold one and do not send. Closes clients that do not read if unwritten answers exceed twice
+  /// their limit.
   void sweep(TimePoint now);
   /// Closes all idle connections gracefully.
   void finish_idle();
@@ -43,6 +43,10 @@
 
   void remove(const Client& client) { clients_.erase(client.number()); }
   [[nodiscard]] InputBudget& input_budget() { return input_budget_; }
+  /// Whether one more line of this size may be held for a client that has not read its earlier ones.
+  [[nodiscard]] bool has_capacity_for_output(std::size_t bytes) const {
+    return unwritten_bytes() + bytes <= limits_.max_unwritten_bytes;
+  }
   /// Adds a connection to the queue for an input slot.
   void wait_for_slot(const Client& client, InputBudget::Priority priority);
   /// Gives available input slots to the connections that wait for one.
--- a/src/platform/output_buffer.cpp
+++ b/src/platform/output_buffer.cpp
@@ -30,6 +30,7 @@
 void OutputBuffer::release_written(std::size_t threshold) {
   if (written_ < threshold) return;
   text_.erase(0, written_);
+  if (text_.size() < text_.capacity() / 2) text_.shrink_to_fit();
   written_ = 0;
 }
 
--- a/tests/platform/client_close_test.cpp
+++ b/tests/platform/client_close_test.cpp
@@ -258,6 +258,29 @@
   for (int id = 1; id <= last_id; ++id) EXPECT_TRUE(answered.contains(id)) << id;
 }
 
+// Guards against closing a slow reader, and against unbounded memory for its results: each request is
+// answered, and results beyond the limit are replaced by errors.
+TEST_F(ClientCloseTest, ResultsBeyondTheLimitOfUnreadAnswersBecomeErrors) {
+  PlatformConfig settings = config();
+  settings.limits.memory_mb = 4;  // allows 170 KiB of unread answers
+  constexpr std::size_t max_unread_bytes = std::size_t{4} * 1024 * 1024 / 24;
+  RunningServer server(std::move(settings));
+  RawClient client(server.port());
+
+  constexpr int requests_beyond_limit = 8;
+  int last_id = answer_unread_requests(server, client, 0x51, max_unread_bytes / 2);
+  for (int i = 0; i < requests_beyond_limit; ++i)
+    last_id = answer_large_request(server, client, 0x51, last_id);
+  EXPECT_LE(server.unread_bytes(), max_unread_bytes + std::size_t{requests_beyond_limit} * 200);
+  int failed = 0;
+  for (int id = 2; id <= last_id; ++id) {
+    const std::string outcome = client.outcome();
+    EXPECT_EQ(client.last_id(), id) << outcome;
+    if (outcome == "error:-32000") ++failed;
+  }
+  EXPECT_GE(failed, requests_beyond_limit - 3);
+}
+
 // An answer, a cancellation, an invalid message and the client's close arrive in one turn of the event loop,
 // in every order: the server keeps running, releases all resources and serves the next client.
 TEST_F(ClientCloseTest, EventsOfOneTurnMayArriveInAnyOrder) {
