A connection to an engine keeps little memory between frames

Callers would see a manager over its memory: a reader that was left with part of a frame after 64 KB kept 142 KB, with up to 500 connections. Change: the reader releases it when a quarter or less is in use, a read takes 64 KB in place of 256, and a queued request is encoded when it is the first in its queue.

--- a/src/platform/engine_connection.cpp
+++ b/src/platform/engine_connection.cpp
@@ -12,6 +12,12 @@
 using service::IoResult;
 using service::IoStatus;
 
+namespace {
+
+constexpr std::size_t max_bytes_per_read = std::size_t{64} * 1024;
+
+}  // namespace
+
 EngineConnection::EngineConnection(PlatformHost& host, EngineConnectionListener& listener,
                                    EngineConnectionTarget target)
     : host_(host),
@@ -92,7 +98,7 @@
 }
 
 IoStatus EngineConnection::receive_available() {
-  const auto scratch = host_.scratch();
+  const auto scratch = host_.scratch().first(max_bytes_per_read);
   const IoResult received = socket_.receive(scratch);
   switch (received.status) {
     case IoStatus::progress: process({scratch.data(), received.bytes}); break;
@@ -149,8 +155,12 @@
 
 core::WriteResult EngineConnection::send(core::ChannelId channel, core::StreamId stream, StreamFrame frame) {
   if (has_send_failed_) return core::WriteResult::failed;
+  if (is_write_loop_running_) {
+    // Encoded again when it is the first one (prepare_next_frame): a queue holds no copies of statements.
+    queue_.push({channel, stream, false, {}});
+    return core::WriteResult::partial;
+  }
   queue_.push({channel, stream, false, std::move(frame)});
-  if (is_write_loop_running_) return core::WriteResult::partial;
   channel_in_send_ = channel;
   const IoStatus status = write_pending();
   const bool was_withdrawn = !std::exchange(channel_in_send_, std::nullopt);
--- a/src/protocol/engine_frames/frames.cpp
+++ b/src/protocol/engine_frames/frames.cpp
@@ -35,6 +35,8 @@
   out.append(reinterpret_cast<const char*>(raw.data()), sizeof(T));
 }
 
+constexpr std::size_t max_idle_capacity = 4 * max_page;  // bytes that a reader keeps allocated
+
 std::uint32_t checksum_of(std::string_view bytes) {
   return static_cast<std::uint32_t>(
       crc32(0, reinterpret_cast<const unsigned char*>(bytes.data()), static_cast<unsigned>(bytes.size())));
@@ -85,16 +87,13 @@
   put(out, checksum_of(std::string_view(out).substr(start)));
 }
 
+// Hundreds of connections have a reader each, so the memory of a large read is released even if part of a
+// frame remains.
 void FrameReader::discard_consumed() {
-  if (consumed_ == bytes_.size()) {
-    bytes_.clear();
-    if (bytes_.capacity() > 4 * max_page)
-      bytes_.shrink_to_fit();  // hundreds of connections have a reader each
-    consumed_ = 0;
-  } else if (consumed_ > max_page) {
-    bytes_.erase(0, consumed_);
-    consumed_ = 0;
-  }
+  if (consumed_ < bytes_.size() && consumed_ <= max_page) return;
+  bytes_.erase(0, consumed_);
+  consumed_ = 0;
+  if (bytes_.capacity() > max_idle_capacity && bytes_.size() < bytes_.capacity() / 4) bytes_.shrink_to_fit();
 }
 
 // Validates each part of the header as soon as it has arrived, so that nothing is buffered for an invalid
--- a/src/protocol/engine_frames/frames.hpp
+++ b/src/protocol/engine_frames/frames.hpp
@@ -80,6 +80,8 @@
   std::variant<std::monostate, Frame, ProtocolViolation> next();
   /// Whether the buffer holds an incomplete frame.
   [[nodiscard]] bool has_partial_frame() const { return consumed_ < bytes_.size(); }
+  /// The size of the buffer's memory.
+  [[nodiscard]] std::size_t allocated_bytes() const { return bytes_.capacity(); }
 
  private:
   /// Frees the bytes of returned frames once the buffer is fully consumed or they exceed a threshold.
--- a/tests/platform/engine_frames_test.cpp
+++ b/tests/platform/engine_frames_test.cpp
@@ -74,6 +74,21 @@
   }
 }
 
+// Guards against readers of hundreds of connections that each keep the memory of their largest read.
+TEST(Frames, AReaderOfPartOfAFrameKeepsLittleMemory) {
+  constexpr std::size_t max_kept_bytes = 4 * engine_frames::max_page;
+  const std::string page(5900, 'x');
+  std::string input;
+  while (input.size() < 64 * 1024) input += frame(9, 5, "part_no=1", page);
+  engine_frames::FrameReader reader(Side::engine);
+  reader.feed(input);
+  reader.feed(input.substr(0, 100));
+  while (std::holds_alternative<engine_frames::Frame>(reader.next())) {}
+
+  EXPECT_TRUE(reader.has_partial_frame());
+  EXPECT_LE(reader.allocated_bytes(), max_kept_bytes);
+}
+
 TEST(Frames, AMalformedFrameIsDetectedAtItsFirstInvalidByte) {
   const std::string good = frame(0, 5, "parts=1", "a\tb\tc\n");
   const auto is_malformed = [](const std::string& bytes) {
