Answers in several pages reserve their memory before the pages are requested

Callers would see a manager over its memory: each attempt may hold 48,000 bytes of pages, with no common bound. Cause: all pages were requested as soon as the first one named their number. Change: AnswerBudget, a 24th of the memory; an answer waits in order until others have ended, and that wait does not count as the engine's.

--- a/src/platform/engine_answers.cpp
+++ b/src/platform/engine_answers.cpp
@@ -54,21 +54,37 @@
   const PagedAnswer::Step step = stream.answer.add(std::move(answer));
   if (const auto* invalid = std::get_if<engine_frames::ProtocolViolation>(&step))
     return ProtocolError{ProtocolError::Kind::invalid_result, invalid->what};
-  if (const auto* more = std::get_if<PagedAnswer::RequestPages>(&step)) {
-    request_pages(connection, stream, more->pages);
+  if (std::holds_alternative<PagedAnswer::RequestPages>(step)) {
+    request_pages_when_possible(connection, channel, stream);
   } else if (const auto* done = std::get_if<PagedAnswer::Done>(&step)) {
     finish_attempt(connection, channel, stream, done->ending);
   }
   return std::nullopt;
 }
 
-void EngineDispatch::request_pages(EngineConnection& connection, const EngineStream& stream,
-                                   std::uint32_t pages) {
+void EngineDispatch::request_pages(EngineConnection& connection, const EngineStream& stream) {
   std::string frames;
-  for (std::uint32_t page = 1; page < pages; ++page) engine_frames::put_page_request(frames, stream.id, page);
+  for (std::uint32_t page = 1; page < stream.answer.head().pages; ++page)
+    engine_frames::put_page_request(frames, stream.id, page);
   connection.send_command(stream.id, std::move(frames));
 }
 
+void EngineDispatch::request_pages_when_possible(EngineConnection& connection, core::ChannelId channel,
+                                                 const EngineStream& stream) {
+  const std::size_t bytes = std::min(max_result, stream.answer.head().pages * engine_frames::max_page);
+  if (answer_budget_.reserve(channel, bytes)) request_pages(connection, stream);
+}
+
+// Writing may read clients' input and end channels, so each stream is looked up when it is its turn.
+void EngineDispatch::request_waiting_pages() {
+  for (const core::ChannelId channel : answer_budget_.grant_available()) {
+    EngineStream* const stream = find(channel);
+    if (stream == nullptr || !stream->is_active()) continue;
+    stream->last_progress = host_.now();
+    request_pages(*stream->connection, *stream);
+  }
+}
+
 void EngineDispatch::finish_attempt(EngineConnection& connection, core::ChannelId channel,
                                     EngineStream& stream, core::Ending ending) {
   const engine_frames::Answer& head = stream.answer.head();
@@ -140,6 +156,7 @@
   }
   for (const auto& [channel, stream] : streams_) {
     const bool awaits_page = stream.is_active() && stream.answer.is_paging() &&
+                             !answer_budget_.is_waiting(channel) &&
                              now - stream.last_progress > config_.core.connect_timeout;
     if (awaits_page && std::find(stalled.begin(), stalled.end(), stream.connection) == stalled.end())
       stalled.push_back(stream.connection);
--- a/src/platform/engine_dispatch.cpp
+++ b/src/platform/engine_dispatch.cpp
@@ -16,14 +16,16 @@
 
 EngineDispatch::EngineDispatch(PlatformHost& host, RequestHandler& requests, const EndpointList& endpoints,
                                RefreshEndpoints refresh_endpoints, const PlatformConfig& config,
-                               std::size_t max_connections)
+                               const ResourceLimits& limits)
     : host_(host),
       requests_(requests),
       endpoints_(endpoints),
       refresh_endpoints_(std::move(refresh_endpoints)),
       config_(config),
-      connections_(host, *this,
-                   {config.streams_per_connection, max_connections, config.core.connect_timeout}) {}
+      connections_(
+          host, *this,
+          {config.streams_per_connection, limits.max_engine_connections, config.core.connect_timeout}),
+      answer_budget_(limits.max_answer_bytes) {}
 
 EngineStream* EngineDispatch::find(core::ChannelId channel) {
   const auto found = streams_.find(channel);
@@ -313,6 +315,8 @@
   streams_.erase(found);
   connection->remove_stream(host_.now());
   drop_if_unused(connection);
+  answer_budget_.release(action.channel);
+  request_waiting_pages();
 }
 
 void EngineDispatch::drop_if_unused(const Connection& connection) {
--- a/src/platform/engine_dispatch.hpp
+++ b/src/platform/engine_dispatch.hpp
@@ -9,12 +9,14 @@
 #include <string>
 #include <string_view>
 
+#include "answer_budget.hpp"
 #include "core/event_dispatcher.hpp"
 #include "endpoint_list.hpp"
 #include "engine_connections.hpp"
 #include "engine_stream.hpp"
 #include "platform_host.hpp"
 #include "request_handler.hpp"
+#include "resource_limits.hpp"
 
 namespace paddlestand::platform {
 
@@ -26,7 +28,7 @@
 
   EngineDispatch(PlatformHost& host, RequestHandler& requests, const EndpointList& endpoints,
                  RefreshEndpoints refresh_endpoints, const PlatformConfig& config,
-                 std::size_t max_connections);
+                 const ResourceLimits& limits);
 
   // ---- Actions of the core ----
 
@@ -92,7 +94,10 @@
                  const engine_frames::Answer& answer);
   std::optional<ProtocolError> continue_answer(EngineConnection& connection, core::ChannelId channel,
                                                EngineStream& stream, engine_frames::Answer answer);
-  void request_pages(EngineConnection& connection, const EngineStream& stream, std::uint32_t pages);
+  void request_pages(EngineConnection& connection, const EngineStream& stream);
+  void request_pages_when_possible(EngineConnection& connection, core::ChannelId channel,
+                                   const EngineStream& stream);
+  void request_waiting_pages();
   void finish_attempt(EngineConnection& connection, core::ChannelId channel, EngineStream& stream,
                       core::Ending ending);
 
@@ -115,6 +120,7 @@
   RefreshEndpoints refresh_endpoints_;
   const PlatformConfig& config_;
   EngineConnections connections_;
+  AnswerBudget answer_budget_;
   std::map<core::ChannelId, EngineStream> streams_;  // ordered: losses are handled in channel order
   std::uint64_t last_probe_ = 0;
   std::uint64_t unmatched_frames_ = 0;
--- a/src/platform/platform_server.cpp
+++ b/src/platform/platform_server.cpp
@@ -28,8 +28,7 @@
       requests_(*this, config_.core.module.classes, limits_.max_statement_bytes),
       clients_(*this, requests_, calls_, lifecycle_, limits_),
       engines_(
-          *this, requests_, endpoints_, [this] { refresh_endpoints(); }, config_,
-          limits_.max_engine_connections),
+          *this, requests_, endpoints_, [this] { refresh_endpoints(); }, config_, limits_),
       listener_(
           io,
           [this](tcp::socket socket, Duration accept_delay) {
--- a/src/platform/resource_limits.cpp
+++ b/src/platform/resource_limits.cpp
@@ -10,6 +10,7 @@
 // The shares of the memory that buffers get.
 constexpr double input_share = 1.0 / 6;
 constexpr double statement_share = 1.0 / 8;
+constexpr double answer_share = 1.0 / 24;
 constexpr double unwritten_share = 1.0 / 24;
 
 }  // namespace
@@ -27,6 +28,7 @@
   };
   limits.max_input_bytes = share_of_memory(input_share);
   limits.max_statement_bytes = share_of_memory(statement_share);
+  limits.max_answer_bytes = share_of_memory(answer_share);
   limits.max_unwritten_bytes = share_of_memory(unwritten_share);
   return limits;
 }
--- a/tests/platform/attempts_test.cpp
+++ b/tests/platform/attempts_test.cpp
@@ -21,6 +21,47 @@
   }
 };
 
+// Guards against unbounded memory for answers in pages: the pages of one answer are requested when the memory
+// for them is available, here after another answer has ended.
+TEST_F(AttemptTest, PagesAreRequestedWhenMemoryIsAvailable) {
+  PlatformConfig settings = non_idempotent_config();
+  settings.limits.memory_mb = 1;  // allows one answer of eight pages at a time
+  settings.core.connect_timeout = 20s;  // also the time limit for pages
+  RunningServer server(std::move(settings));
+  const std::string page = "a\tb\tc\n";
+  constexpr int pages = 8;
+  const auto answer_first_page = [&](EnginePeer& engine, std::uint64_t id) {
+    engine.answer(0, id, "parts=" + std::to_string(pages), page);
+  };
+  const auto answer_requested_pages = [&](EnginePeer& engine, std::uint64_t id) {
+    for (int number = 1; number < pages; ++number) {
+      const auto request = engine.next();
+      ASSERT_TRUE(request);
+      EXPECT_EQ(request->code, static_cast<std::uint8_t>(engine_frames::Command::fetch_page));
+      engine.answer(9, id, "part_no=" + std::to_string(number), page);
+    }
+  };
+  std::string result;
+  for (int number = 0; number < pages; ++number) result += page;
+
+  RawClient first(server.port()), second(server.port());
+  first.send_request(1, 0x61);
+  EnginePeer first_engine = accept_any_engine();
+  ASSERT_TRUE(first_engine.next());
+  second.send_request(1, 0x62);
+  EnginePeer second_engine = accept_any_engine();
+  ASSERT_TRUE(second_engine.next());
+
+  answer_first_page(first_engine, 0x61);
+  ASSERT_TRUE(wait_until([&] { return first_engine.has_input(); }));
+  answer_first_page(second_engine, 0x62);
+  EXPECT_FALSE(second_engine.next(300));
+  answer_requested_pages(first_engine, 0x61);
+  EXPECT_EQ(first.outcome(), "served:" + result);
+  answer_requested_pages(second_engine, 0x62);
+  EXPECT_EQ(second.outcome(), "served:" + result);
+}
+
 // After each failure that leaves open whether the attempt ran, the client gets an error and nothing is
 // retried.
 TEST_F(AttemptTest, AnAttemptThatMayHaveRunIsNotRetriedForANonIdempotentRequest) {
