--- a/tests/incidents/half_requests_test.cpp
+++ b/tests/incidents/half_requests_test.cpp
@@ -2,31 +2,18 @@
 /// requests (docs/incidents/049-open-requests-beside-half-requests.md), and buffers beyond the memory limit
 /// (docs/incidents/049-memory-of-half-requests.md).
 #include "incident_test.hpp"
+#include "large_requests.hpp"
 
 namespace paddlestand::platform::test {
 namespace {
 
 constexpr std::uint64_t first_trace = 0x7c00000000000000;
 
-/// A line with a statement of the given size.
-std::string large_request_line(int id, std::uint64_t trace, std::size_t statement_bytes) {
-  const std::string small = RawClient::request_line(id, trace);
-  const std::string statement = "SELECT '" + std::string(statement_bytes, 'x') + "' FROM a_1.b";
-  const std::string small_content = base64("SELECT 1 FROM a_1.b");
-  const std::size_t at = small.find(small_content);
-  return small.substr(0, at) + base64(statement) + small.substr(at + small_content.size());
-}
-
-/// The beginning of a request, without its end.
-std::string half_request(std::size_t bytes) {
-  return large_request_line(1, first_trace - 1, bytes).substr(0, bytes);
-}
-
 /// Connections that each hold half a request.
 class HalfRequestSenders {
  public:
   HalfRequestSenders(std::uint16_t port, std::size_t count, std::size_t bytes) {
-    const std::string half = half_request(bytes);
+    const std::string half = half_request(first_trace - 1, bytes);
     for (std::size_t i = 0; i < count; ++i) wires_.push_back(Wire::connect(port));
     for (const Wire& wire : wires_) wire.write_available(half);
   }
--- a/tests/incidents/incident_test.hpp
+++ b/tests/incidents/incident_test.hpp
@@ -41,8 +41,7 @@
     manager_ = std::make_unique<ManagerProcess>(
         process_config(ports, port, discovery_listener_.port(), conditions_.max_descriptors,
                        conditions_.streams_per_connection, conditions_.memory_mb),
-        port,
-        conditions_.call_faults);
+        port, conditions_.call_faults);
     ASSERT_TRUE(manager_->ready());
     client_ = std::make_unique<RawClient>(port);
     establish_success_history();
--- /dev/null
+++ b/tests/incidents/large_requests.hpp
@@ -0,0 +1,24 @@
+/// Lines of large requests, and their beginnings.
+#pragma once
+
+#include <string>
+
+#include "tests/platform/peers.hpp"
+
+namespace paddlestand::platform::test {
+
+/// A request with a statement of the given size.
+inline std::string large_request_line(int id, std::uint64_t trace, std::size_t statement_bytes) {
+  const std::string small = RawClient::request_line(id, trace);
+  const std::string statement = "SELECT '" + std::string(statement_bytes, 'x') + "' FROM a_1.b";
+  const std::string small_content = base64("SELECT 1 FROM a_1.b");
+  const std::size_t at = small.find(small_content);
+  return small.substr(0, at) + base64(statement) + small.substr(at + small_content.size());
+}
+
+/// The first bytes of a request that is larger.
+inline std::string half_request(std::uint64_t trace, std::size_t bytes) {
+  return large_request_line(1, trace, bytes).substr(0, bytes);
+}
+
+}  // namespace paddlestand::platform::test
