--- a/src/platform/client.cpp
+++ b/src/platform/client.cpp
@@ -1,8 +1,6 @@
 #include "client.hpp"
 
 #include <algorithm>
-#include <boost/asio/post.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <set>
 
 #include "client_registry.hpp"
@@ -21,25 +19,12 @@
 
 namespace {
 
-constexpr std::size_t max_line_bytes = max_message_bytes;
-constexpr std::size_t max_bytes_without_slot = std::size_t{2} * 1024;
-constexpr std::size_t max_bytes_per_read = std::size_t{64} * 1024;  // per client and turn of the event loop
 constexpr std::size_t max_unwritten_lines = 128;  // for a client that does not read its answers
-constexpr std::size_t max_dropped_bytes =
-    std::size_t{256} * 1024;  // received after the connection began to end
 constexpr auto first_message_timeout = 2s;
 constexpr auto idle_timeout = 6s;  // clients close their connections after 4 s without an open request
 constexpr auto write_timeout = 4s;  // since the last progress
 constexpr auto linger_timeout = 1s;  // for the client to close after this side has shut down
 
-ReadOutcome read_outcome_of(IoStatus last) {
-  switch (last) {
-    case IoStatus::would_block: return ReadOutcome::drained;
-    case IoStatus::retry_later: return ReadOutcome::failing;
-    default: return ReadOutcome::more_possible;
-  }
-}
-
 }  // namespace
 
 Client::Client(const ClientContext& context, tcp::socket socket, std::uint64_t number, Duration accept_delay)
@@ -47,7 +32,7 @@
       host_(context.host),
       socket_(std::move(socket)),
       number_(number),
-      lines_(max_line_bytes),
+      lines_(max_message_bytes),
       last_received_(host_.now()),
       last_used_(last_received_),
       last_write_progress_(last_received_),
@@ -138,181 +123,6 @@
   if (is_silent || now - last_used_ > idle_timeout) finish_if_idle();
 }
 
-// ---- Input ----
-
-asio::awaitable<void> Client::read_loop() {
-  const auto self = shared_from_this();
-  while (!is_closed()) {
-    co_await socket_.wait_to_receive(last_receive_);
-    if (is_closed()) co_return;
-    InputStatus status = read_input();
-    // After each turn, a client that sends continuously yields to the others.
-    while (status == InputStatus::more_available) {
-      co_await asio::post(host_.io(), asio::use_awaitable);
-      if (is_closed()) co_return;
-      status = read_input();
-    }
-    if (status == InputStatus::paused) break;
-  }
-  is_read_loop_running_ = false;
-}
-
-void Client::read_pending_input() {
-  if (is_closed() || is_reading_ || paused_since_) return;
-  const auto self = shared_from_this();
-  read_input();
-}
-
-void Client::read_pending_input_beyond_limit() {
-  if (is_closed() || is_reading_) return;
-  if (is_open() && !slot_) {
-    context_.registry.input_budget().acquire_beyond_limit(input_priority());
-    resume_reading(input_priority());
-  }
-  read_pending_input();
-}
-
-// ---- Input slots ----
-
-InputBudget::Priority Client::input_priority() const {
-  if (is_owed_answers()) return InputBudget::Priority::has_open_requests;
-  return has_sent_message_ ? InputBudget::Priority::known : InputBudget::Priority::unknown;
-}
-
-// How many bytes may be read now. Input that is dropped requires no memory.
-std::size_t Client::readable_bytes() {
-  if (!is_open() || slot_) return max_bytes_per_read;
-  const InputBudget::Priority priority = input_priority();
-  if (!paused_since_ && context_.registry.input_budget().try_acquire(priority)) {
-    slot_ = priority;
-    return max_bytes_per_read;
-  }
-  return max_bytes_without_slot - std::min(max_bytes_without_slot, lines_.buffered_bytes());
-}
-
-void Client::pause_reading() {
-  if (paused_since_) return;
-  paused_since_ = host_.now();
-  input_times_.record_pause(*paused_since_, host_.event_loop_lag());
-  context_.registry.wait_for_slot(*this, input_priority());
-}
-
-void Client::end_pause() {
-  if (!paused_since_) return;
-  context_.registry.input_budget().remove(number_);
-  const TimePoint now = host_.now();
-  partial_message_.record_pause(*paused_since_, now);
-  last_received_ = now;
-  paused_since_.reset();
-}
-
-void Client::resume_reading(InputBudget::Priority slot) {
-  end_pause();
-  slot_ = slot;
-  if (is_read_loop_running_) return;
-  is_read_loop_running_ = true;
-  asio::post(host_.io(), [self = shared_from_this()] { self->start(); });
-}
-
-void Client::release_slot() {
-  end_pause();
-  if (!slot_) return;
-  context_.registry.input_budget().release(*slot_);
-  slot_.reset();
-  context_.registry.grant_slots();
-}
-
-void Client::release_slot_if_unused() {
-  if (slot_ && lines_.buffered_bytes() <= max_bytes_without_slot) release_slot();
-}
-
-// Reads all available input, up to a limit, before processing any of it, so that no work starts for a client
-// that sends a lot and disconnects.
-Client::InputStatus Client::read_input() {
-  const TimePoint began = host_.now();
-  const std::size_t limit = readable_bytes();
-  if (limit == 0) {
-    pause_reading();
-    return paused_since_ ? InputStatus::paused : InputStatus::more_available;
-  }
-  std::size_t received_bytes = 0;
-  is_reading_ = true;
-  const IoResult last = receive_available(limit, received_bytes);
-  is_reading_ = false;
-  if (is_closed()) return InputStatus::ended;
-  last_receive_ = last.status;
-  if (last.status == IoStatus::end_of_input || last.status == IoStatus::ended) {
-    close(last.status == IoStatus::end_of_input ? "closed by the client"
-                                                : "receive: " + last.error.message());
-    return InputStatus::ended;
-  }
-  input_times_.record_read(read_outcome_of(last.status), began, host_.now(), host_.event_loop_lag());
-  if (received_bytes == 0) {
-    release_slot_if_unused();
-    return InputStatus::drained;
-  }
-  last_received_ = host_.now();
-  if (is_open()) accept_received_lines();
-  release_slot_if_unused();
-  process_pending_messages();
-  if (is_closed()) return InputStatus::ended;
-  return last.status == IoStatus::progress ? InputStatus::more_available : InputStatus::drained;
-}
-
-IoResult Client::receive_available(std::size_t limit, std::size_t& received_bytes) {
-  IoResult last;
-  while (received_bytes < limit && !is_closed()) {
-    const auto scratch = host_.scratch().first(limit - received_bytes);
-    last = socket_.receive(scratch);
-    if (last.status != IoStatus::progress) break;
-    received_bytes += last.bytes;
-    if (is_open()) {
-      lines_.feed({scratch.data(), last.bytes});
-    } else {
-      drop_input(last.bytes);
-    }
-  }
-  return last;
-}
-
-void Client::drop_input(std::size_t bytes) {
-  dropped_bytes_ += bytes;
-  context_.registry.count_dropped(bytes);
-  if (dropped_bytes_ > max_dropped_bytes) close("client keeps writing after the end of its connection");
-}
-
-void Client::accept_received_lines() {
-  auto messages = complete_messages();
-  partial_message_.record_input(lines_.has_partial_line(), !messages.empty(), last_received_);
-  is_reading_ = true;  // validation reads other clients' input, which could re-enter this function
-  accept(std::move(messages));
-  is_reading_ = false;
-}
-
-// Not re-entered: input that is read while a message is being processed is left to the running loop.
-void Client::process_pending_messages() {
-  if (is_processing_messages_ || pending_messages_.is_empty()) return;
-  is_processing_messages_ = true;
-  while (is_open()) {
-    auto next = pending_messages_.pop();
-    if (!next) break;
-    process(std::move(*next));
-  }
-  is_processing_messages_ = false;
-  flush();
-}
-
-std::vector<jsonrpc::Message> Client::complete_messages() {
-  std::vector<jsonrpc::Message> messages;
-  while (const auto line = lines_.next()) messages.push_back(context_.calls.read(*line));
-  if (lines_.too_long()) {
-    messages.emplace_back(
-        std::in_place_type<jsonrpc::Problem>,
-        jsonrpc::Problem{std::nullopt, jsonrpc::ErrorCode::invalid_request, "message is too long"});
-  }
-  return messages;
-}
-
 // ---- Messages ----
 
 std::optional<jsonrpc::Problem> Client::find_problem(const std::vector<jsonrpc::Message>& messages) const {
@@ -482,7 +292,7 @@
     co_await socket_.wait_to_send(last);
     if (is_closed()) co_return;
     last = write_pending();
-    output_.release_written(max_line_bytes);
+    output_.release_written(max_message_bytes);
   }
   is_write_loop_running_ = false;
   if (!is_closed()) flush();
--- a/tests/platform/input_times_test.cpp
+++ b/tests/platform/input_times_test.cpp
@@ -31,6 +31,36 @@
   EXPECT_EQ(delayed_loop.arrived(), TimePoint{800ms});
 }
 
+// Guards against granting a request the time that its connection was not read for lack of memory.
+TEST(InputTimes, TheArrivalIsAtTheBeginningOfAPause) {
+  InputTimes times(0ms);
+  times.record_read(ReadOutcome::drained, 1000ms, 1000ms, no_lag);
+  times.record_pause(1200ms, 50ms);
+  times.record_read(ReadOutcome::more_possible, 3000ms, 3000ms, no_lag);
+  EXPECT_EQ(times.arrived(), TimePoint{1150ms});
+  times.record_read(ReadOutcome::drained, 3001ms, 3001ms, no_lag);
+  EXPECT_EQ(times.arrived(), TimePoint{1150ms});
+  times.record_read(ReadOutcome::drained, 3100ms, 3100ms, no_lag);
+  EXPECT_EQ(times.arrived(), TimePoint{3100ms});
+}
+
+TEST(PartialMessage, APauseDoesNotCountButShortensTheWaitForWhatDoesNotGoOn) {
+  PartialMessage message;
+  message.record_input(true, false, 1000ms);
+  message.record_pause(1000ms, 2500ms);
+  message.record_input(true, false, 2500ms);  // what was sent during the pause
+  EXPECT_FALSE(message.is_overdue(3000ms));
+  EXPECT_TRUE(message.is_overdue(3001ms));
+
+  message.record_input(true, false, 2900ms);  // goes on
+  EXPECT_FALSE(message.is_overdue(4900ms));
+  EXPECT_TRUE(message.is_overdue(4901ms));
+  for (auto received = 3000ms; received <= 8000ms; received += 1000ms)
+    message.record_input(true, false, received);
+  EXPECT_FALSE(message.is_overdue(8500ms));
+  EXPECT_TRUE(message.is_overdue(8501ms));  // 6 s and the pause
+}
+
 TEST(InputTimes, TheArrivalIsNotBeforeTheInputWasLastDrained) {
   InputTimes times(300ms);
   times.record_read(ReadOutcome::drained, 1000ms, 1000ms, no_lag);
