--- a/tests/incidents/half_requests_test.cpp
+++ b/tests/incidents/half_requests_test.cpp
@@ -62,9 +62,10 @@
     run_until([end = Clock::now() + time] { return Clock::now() >= end; }, hold);
   }
   void serve_held_requests() {
-    for (const auto& [connection, id] : held_)
-      if (Connection* open = engine().find(connection); open != nullptr && open->active_attempts.contains(id))
-        engine().serve(*open, id);
+    for (const auto& [connection, id] : held_) {
+      Connection* const open = engine().find(connection);
+      if (open != nullptr && open->active_attempts.contains(id)) engine().serve(*open, id);
+    }
   }
   [[nodiscard]] std::size_t held_requests() const { return held_.size(); }
 
