A request that waits for memory is answered before the process ends

Callers would see: while other clients hold all slots with half messages, a request that waits for one in its socket is never read during a shutdown, and its connection ends with no answer. Cause: GracefulShutdown ends idle connections only, and finish_if_idle leaves out those that wait for a slot.

--- a/src/platform/client.hpp
+++ b/src/platform/client.hpp
@@ -65,6 +65,9 @@
   /// Like read_pending_input(), but reads the connection even if no input slot is available. For decisions
   /// that must not be made without knowing whether the client has left.
   void read_pending_input_beyond_limit();
+  /// If the connection waits for an input slot, reads it all the same, and turns the client away if its
+  /// message is incomplete: the process is about to exit.
+  void finish_waiting_input();
   /// Goes on reading, with the input slot that the connection has waited for.
   void resume_reading(InputBudget::Priority slot);
   /// Answers every open request as failed, reports the reason, and ends the connection gracefully.
--- a/src/platform/client_input.cpp
+++ b/src/platform/client_input.cpp
@@ -97,6 +97,15 @@
   paused_since_.reset();
 }
 
+// Reads on while the message is incomplete and more input is available. Ends at the limit of a message at the
+// latest.
+void Client::finish_waiting_input() {
+  if (!paused_since_) return;
+  const auto self = shared_from_this();
+  do { read_pending_input_beyond_limit(); } while (is_open() && slot_ && last_receive_ == IoStatus::progress);
+  if (partial_message_.exists()) turn_away("the workload manager is shutting down");
+}
+
 void Client::resume_reading(InputBudget::Priority slot) {
   end_pause();
   slot_ = slot;
--- a/src/platform/client_registry.cpp
+++ b/src/platform/client_registry.cpp
@@ -75,7 +75,7 @@
   const Clients clients = all();
   for (const auto& client : clients) client->check_timeouts(now);
   turn_away_stalled(clients, now);
-  close_non_readers(clients, now);
+  close_non_readers(now);
 }
 
 // Of the clients that hold an input slot and have stopped sending, those are turned away that have never sent
@@ -101,11 +101,12 @@
 
 // Beyond the limit, results are replaced by short errors (Client::answer). Only if that is not enough,
 // answers are cut off, for clients that have read nothing for a while.
-void ClientRegistry::close_non_readers(Clients clients, TimePoint now) {
+void ClientRegistry::close_non_readers(TimePoint now) {
   const std::size_t hard_limit = 2 * limits_.max_unwritten_bytes;
   std::size_t excess = unwritten_bytes();
   if (excess <= hard_limit) return;
   excess -= hard_limit;
+  Clients clients = all();
   std::erase_if(clients, [&](const auto& client) {
     return client->unwritten_bytes() == 0 || now - client->last_write_progress() < non_reader_timeout;
   });
@@ -146,6 +147,10 @@
                    text);
 }
 
+void ClientRegistry::finish_waiting_input() {
+  for (const auto& client : all()) client->finish_waiting_input();
+}
+
 void ClientRegistry::finish_idle() {
   for (const auto& client : all()) client->finish_if_idle();
 }
--- a/src/platform/client_registry.hpp
+++ b/src/platform/client_registry.hpp
@@ -28,6 +28,9 @@
   /// those that hold one and do not send. Closes clients that do not read if unwritten answers exceed twice
   /// their limit.
   void sweep(TimePoint now);
+  /// Reads the connections that wait for an input slot, one after the other. Turns those away whose message
+  /// is incomplete. For the end of the process, when no slot can be waited for.
+  void finish_waiting_input();
   /// Closes all idle connections gracefully.
   void finish_idle();
   /// Closes all connections immediately, before the process exits.
@@ -63,7 +66,7 @@
   bool make_room();
   [[nodiscard]] std::shared_ptr<Client> best_to_evict(const std::shared_ptr<Client>& excluded) const;
   void turn_away_stalled(Clients clients, TimePoint now);
-  void close_non_readers(Clients clients, TimePoint now);
+  void close_non_readers(TimePoint now);
   void log_backlog(const Client& client, std::size_t bytes, std::string_view text);
   [[nodiscard]] Clients all() const;
 
--- a/tests/platform/client_close_test.cpp
+++ b/tests/platform/client_close_test.cpp
@@ -12,6 +12,13 @@
 
 class ClientCloseTest : public PlatformServerTest {
  protected:
+  /// Sends request 1 and returns the connection on which an engine has received it and does not answer.
+  EnginePeer hold_first_request(RawClient& client, std::uint64_t trace) {
+    client.send_request(1, trace);
+    EnginePeer engine(engine_listeners_[0]);
+    EXPECT_TRUE(engine.next());
+    return engine;
+  }
   /// Sends a request after `last_id` and answers it with a line of 64 KB that the client does not read.
   /// Returns its id.
   int answer_large_request(RunningServer& server, RawClient& client, unsigned first_trace, int last_id) {
@@ -228,10 +235,7 @@
   RunningServer server(config());
   RawClient client(server.port());
 
-  client.send_request(1, 0x51);
-  EnginePeer held_engine(engine_listeners_[0]);
-  ASSERT_TRUE(held_engine.next());
-
+  EnginePeer held_engine = hold_first_request(client, 0x51);
   answer_unread_requests(server, client, 0x51, std::size_t{600} * 1024);
   client.wire().write(cancel_line(0x51));
   const auto cancel = held_engine.next();
@@ -246,10 +250,7 @@
   RunningServer server(config());
   RawClient client(server.port());
 
-  client.send_request(1, 0x51);
-  EnginePeer held_engine(engine_listeners_[0]);
-  ASSERT_TRUE(held_engine.next());
-
+  EnginePeer held_engine = hold_first_request(client, 0x51);
   const int last_id = answer_unread_requests(server, client, 0x51, std::size_t{600} * 1024);
   client.wire().write("noise\n");
   std::set<std::int64_t> answered;
--- a/tests/platform/graceful_shutdown_test.cpp
+++ b/tests/platform/graceful_shutdown_test.cpp
@@ -1,4 +1,6 @@
 // Starting without a command channel, and graceful shutdown after SIGTERM.
+#include <atomic>
+
 #include "peers.hpp"
 
 namespace paddlestand::platform::test {
@@ -64,6 +66,44 @@
   ::unlink(path.c_str());
 }
 
+// Guards against ending the process with a request unread because its client waited for memory: other clients
+// keep all of it with half requests until the end.
+TEST_F(GracefulShutdownTest, ARequestThatWaitsForMemoryIsAnsweredBeforeTheEnd) {
+  PlatformConfig settings = config();
+  settings.limits.memory_mb = 1;  // allows four large messages at a time
+  constexpr std::size_t large_messages = 4;
+  for (ClassSettings& class_settings : settings.core.module.classes) class_settings.deadline = 400ms;
+  const std::string small = base64("SELECT 1 FROM a_1.b");
+  std::string request = RawClient::request_line(1, 0xb3, "report", "", 800);
+  request.replace(request.find(small), small.size(), base64("SELECT '" + std::string(20'000, 'x') + "'"));
+  boost::asio::io_context io(1);
+  PlatformServer platform(io, std::move(settings), "", false);
+  platform.start();
+  std::atomic<bool> has_ended = false;
+  std::thread loop([&] {
+    io.run();
+    has_ended = true;
+  });
+
+  std::vector<RawClient> holders;
+  for (std::size_t i = 0; i < large_messages; ++i) {
+    holders.emplace_back(platform.port());
+    holders.back().wire().write(request.substr(0, 10'000));
+  }
+  std::this_thread::sleep_for(100ms);
+  RawClient client(platform.port());
+  client.wire().write(request);
+  std::this_thread::sleep_for(100ms);
+  boost::asio::post(io, [&] { platform.begin_shutdown(); });
+  while (!has_ended) {
+    for (RawClient& holder : holders) holder.wire().write_available("x");
+    std::this_thread::sleep_for(20ms);
+  }
+  loop.join();
+  platform.close_connections();
+  EXPECT_EQ(client.outcome(), "error:-32001");
+}
+
 // The kernel has established the connection and received input before the event loop accepts it and the
 // listener is closed.
 TEST_F(GracefulShutdownTest, AConnectionQueuedInTheKernelIsAcceptedWhenTheListenerCloses) {
