Review case 9: a burst of loads keeps the process busy for seconds, lookups are lost

Cause: requests behind their key's first one are queued without a bound, and each event goes over the whole queue.

--- a/review/lib-2/rig.py
+++ b/review/lib-2/rig.py
@@ -361,6 +361,11 @@
         with open(f"/proc/{self.process.pid}/status", encoding="utf-8") as status:
             return next(int(line.split()[1]) for line in status if line.startswith("VmHWM"))
 
+    def processor_s(self):
+        with open(f"/proc/{self.process.pid}/stat", encoding="utf-8") as stat:
+            fields = stat.read().rsplit(")", 1)[1].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
     def log_text(self):
         with open(os.path.join(self.folder, "log"), encoding="utf-8") as log:
             return log.read()
