Review stand-ins: settings of a case may add sections

Cause: random plays with peers and prices need settings that the base has not. Change: rig.configuration merges into an empty section.

--- a/review/lib-2/rig.py
+++ b/review/lib-2/rig.py
@@ -302,7 +302,7 @@
                   "fall_ns": 1500000000, "order_settle_ns": 0, "answer_slack_ns": 0},
         "report": {"how": "inline", "names": ["inflight"]}, "tenants": []}
     for name, value in settings.items():
-        whole[name] = {**whole[name], **value} if isinstance(value, dict) else value
+        whole[name] = {**whole.get(name, {}), **value} if isinstance(value, dict) else value
     return {"name": "n0", "listen": f"127.0.0.1:{listen}", "seed": f"{random.getrandbits(63):016x}",
             "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": sockets},
             "channel": f"127.0.0.1:{channel.port}",
