--- a/review/7/play.py
+++ b/review/7/play.py
@@ -1,71 +1,51 @@
-"""Clients that send many commands at once, and whether the lookups of others get their answers in time."""
+"""Half requests of other clients, and whether a client's whole request gets its answer in time."""
 from rig import *
 
-PATIENCE_MS = 2000  # kochi-signing: lookups are given up after 2.5 s, a try after 80 to 100% of that
+DEADLINE_MS = 2500  # kochi-signing, lookup: given up after 2.5 s
+PATIENCE_MS = 2000  # a try is given up after 80 to 100% of that
 SLACK_S = 0.5 + 0.05  # STANDING: half a second; PROTOCOL: every time limit is 50 ms longer
-BURST_CLIENTS, COMMANDS = 250, 31  # PROTOCOL: up to 32 open on a connection, connections a third of 1,024 at most
+BAD_CLIENTS = 300
 
 
-class TwoSpeeds(Engine):
-    """Takes 4 s for a long load and 20 ms for everything else."""
-
-    async def run(self, key, attempt):
-        long = b"LONG" in attempt.body
-        await asyncio.sleep(4 if long else 0.02)
-        if self.open.pop(key, None) is not None:
-            attempt.serve(4000 if long else 20)
-
-
-def load(client, key, long):
-    return client.line("load", 22000, b"INSERT INTO a_1.depths " + (b"LONG" if long else b"SHORT"),
-                       weight=4000.0 if long else 10.0, entity=f"{key:016x}", nonce=f"{random.getrandbits(128):032x}")[2]
-
-
-class Quiet:
-    """Writes no lines: thousands of them would slow the stand-ins down."""
-
-    def line(self, text):
-        pass
+def run_long(attempt):
+    """The engines do not end a report while the case runs."""
+    return attempt.fields["kind"] == "report"
 
 
 async def play(record, managers):
     channel = await Channel(record).start()
-    engines = [await TwoSpeeds(Quiet(), number + 1).start() for number in range(17)]
-    classes = [{**request_class("lookup", "pure", 2500), "aim_ns": 500000000},
-               {**request_class("load", "token", 25000, key_scope="all", key_ttl_ns=25000000000, in_turn=True),
-                "aim_ns": 4000000000}]
-    manager = Manager(record, configuration(free_port(), channel, engines, classes, memory_mb=192, sockets=1024))
+    engines = [await Engine(record, number + 1, on_request=run_long).start() for number in range(17)]
+    classes = [{**request_class("lookup", "pure", DEADLINE_MS), "aim_ns": 500000000},
+               request_class("report", "pure", 25000)]
+    manager = Manager(record, configuration(free_port(), channel, engines, classes, memory_mb=32, sockets=1024))
     managers.append(manager)
     await manager.start()
-    usual = [await Client(record, f"c{number}").connect(manager.port) for number in range(3)]
-    await asyncio.gather(*(one.ask("load", 22000, b"INSERT INTO a_1.depths LONG", weight=4000.0, entity=f"{key:016x}",
-                                   nonce=f"{random.getrandbits(128):032x}") for key, one in enumerate(usual * 3)))
-    for one in usual:
-        await one.ask("lookup", PATIENCE_MS)
-    burst = []
+    clients = [await Client(record, f"c{number}").connect(manager.port) for number in range(3)]
+    for client in clients:
+        await client.ask("lookup", PATIENCE_MS)
+        client.send("report", 22000, weight=4000.0)
     if trouble():
-        burst = [await Client(Quiet(), f"burst{number}").connect(manager.port) for number in range(BURST_CLIENTS)]
-        await asyncio.sleep(0.2)
-        for number, one in enumerate(burst):
-            one.writer.write(b"".join(load(one, 1000 + number, count == 0) for count in range(COMMANDS)))
-        record.line(f"{BURST_CLIENTS} clients have each written {COMMANDS} loads of a key of their own at once")
-    await asyncio.sleep(0.05)
-    busy = manager.processor_s()
-    sent = [one.send("lookup", PATIENCE_MS) for one in usual]
-    await asyncio.wait([answer for _, _, _, answer in sent], timeout=25)
+        bad = [await Client(record, f"bad{number}").connect(manager.port) for number in range(BAD_CLIENTS)]
+        for one in bad:
+            one.send("report", 22000, weight=4000.0)
+        await asyncio.sleep(0.1)
+        for one in bad:
+            one.writer.write(HalfRequest.HALF)
+        record.line(f"{BAD_CLIENTS} bad clients have each written 4 KB of a second request, and no more")
+    await asyncio.sleep(0.02)
+    statement = b"SELECT 1 FROM a_1.b WHERE c IN (" + b"'wreck'," * 750 + b"'buoy')"
+    sent = [client.send("lookup", PATIENCE_MS, statement) for client in clients]
+    await asyncio.sleep(6)
     breaks = []
-    for one, (_, trace, written, answer) in zip(usual, sent):
+    for client, (_, trace, written, answer) in zip(clients, sent):
         over = written + PATIENCE_MS / 1000
         if not answer.done() or answer.result() is None:
-            breaks.append(f"{trace} of client {one.name} has no answer")
+            breaks.append(f"{trace} of client {client.name} has no answer")
         elif answer.result()["came"] > over + SLACK_S:
-            breaks.append(f"{trace} of client {one.name} was answered {answer.result()['came'] - over:.3f} s after its"
-                          f" time: {outcome(answer.result())}")
+            breaks.append(f"{trace} of client {client.name} was answered {answer.result()['came'] - over:.3f} s after"
+                          f" its time: {outcome(answer.result())}")
     if manager.exit_code() is not None:
         breaks.append("the workload manager has ended")
-    record.line(f"meanwhile the workload manager used {manager.processor_s() - busy:.2f} s of processor time")
-    answers = [answer for one in burst for each in one.answers.values() for answer in each]
-    record.line(f"burst: {len(answers)} answers, {sum('result' in answer for answer in answers)} of them served")
     return breaks
 
 
--- a/review/8/play.py
+++ b/review/8/play.py
@@ -1,107 +1,72 @@
-"""A further attempt of a keyed load whose connection comes up late, and a stop of the process meanwhile."""
+"""Clients that send many commands at once, and whether the lookups of others get their answers in time."""
 from rig import *
 
-WINDOW_S = 3.0
-SLACK_S = 0.05  # PROTOCOL: every time limit is 50 ms longer
-STOP_S = 3.0
+PATIENCE_MS = 2000  # kochi-signing: lookups are given up after 2.5 s, a try after 80 to 100% of that
+SLACK_S = 0.5 + 0.05  # STANDING: half a second; PROTOCOL: every time limit is 50 ms longer
+BURST_CLIENTS, COMMANDS = 250, 31  # PROTOCOL: up to 32 open on a connection, connections a third of 1,024 at most
 
 
-class Group:
-    """What the engines of a group remember of a token: they drop a repeat for WINDOW_S."""
+class TwoSpeeds(Engine):
+    """Takes 4 s for a long load and 20 ms for everything else."""
 
-    def __init__(self, record):
-        self.record, self.began, self.effects = record, {}, {}
+    async def run(self, key, attempt):
+        long = b"LONG" in attempt.body
+        await asyncio.sleep(4 if long else 0.02)
+        if self.open.pop(key, None) is not None:
+            attempt.serve(4000 if long else 20)
 
-    def run(self, attempt):
-        token, now = attempt.fields["token"], time.time()
-        if token in self.began and now < self.began[token] + WINDOW_S:
-            self.record.line(f"engine {attempt.engine.name} drops the repeat of {token}")
-            return
-        self.began[token] = now
-        self.effects.setdefault(token, []).append(now)
-        self.record.line(f"engine {attempt.engine.name} applies {token}")
 
+def load(client, key, long):
+    return client.line("load", 22000, b"INSERT INTO a_1.depths " + (b"LONG" if long else b"SHORT"),
+                       weight=4000.0 if long else 10.0, entity=f"{key:016x}", nonce=f"{random.getrandbits(128):032x}")[2]
 
-class LateEngine(Engine):
-    """Its connections come up about 1 s late: its line of new connections is full, so the first SYN is dropped."""
 
-    async def start(self):
-        self.socket = socket.socket()
-        self.socket.bind(("127.0.0.1", 0))
-        self.socket.listen(0)
-        self.port = self.socket.getsockname()[1]
-        self.filler = socket.create_connection(("127.0.0.1", self.port))
-        return self
+class Quiet:
+    """Writes no lines: thousands of them would slow the stand-ins down."""
 
-    async def come_up(self):
-        self.filler.close()
-        self.socket.setblocking(False)
-        self.server = await asyncio.start_server(self.serve_link, sock=self.socket)
+    def line(self, text):
+        pass
 
 
-async def play_round(record, managers):
+async def play(record, managers):
     channel = await Channel(record).start()
-    group, came, failed = Group(record), asyncio.Event(), asyncio.Event()
-
-    def run_then_fail(attempt):
-        group.run(attempt)
-        came.set()
-
-        async def fail():
-            await asyncio.sleep(0.3)
-            record.line(f"engine {attempt.engine.name} answers {attempt.trace} with an error: it may have run")
-            attempt.answer(4)
-            failed.set()
-
-        asyncio.get_running_loop().create_task(fail())
-        return True
-
-    def run(attempt):
-        group.run(attempt)
-        return False
-
-    first = await Engine(record, 1, on_request=run_then_fail).start()
-    late = await LateEngine(record, 2, on_request=run).start()
-    classes = [request_class("load", "token", 25000, key_scope="all", key_ttl_ns=int(WINDOW_S * 1e9))]
-    manager = Manager(record, configuration(free_port(), channel, [first], classes, memory_mb=64, sockets=256))
+    engines = [await TwoSpeeds(Quiet(), number + 1).start() for number in range(17)]
+    classes = [{**request_class("lookup", "pure", 2500), "aim_ns": 500000000},
+               {**request_class("load", "token", 25000, key_scope="all", key_ttl_ns=25000000000, in_turn=True),
+                "aim_ns": 4000000000}]
+    manager = Manager(record, configuration(free_port(), channel, engines, classes, memory_mb=192, sockets=1024))
     managers.append(manager)
     await manager.start()
-    await asyncio.sleep(1.2)
-    client = await Client(record, "c0").connect(manager.port)
-    token = f"{random.getrandbits(128):032x}"
-    _, trace, _, answer = client.send("load", 20000, b"INSERT INTO a_1.depths VALUES (1,17.5)", nonce=token, weight=300.0)
-    await came.wait()
-    channel.tell(late, 0)
-    await failed.wait()
-    await asyncio.sleep(0.1)
-    if trouble():
-        manager.signal(signal.SIGSTOP)
-    await late.come_up()
-    await asyncio.sleep(STOP_S)
+    usual = [await Client(record, f"c{number}").connect(manager.port) for number in range(3)]
+    await asyncio.gather(*(one.ask("load", 22000, b"INSERT INTO a_1.depths LONG", weight=4000.0, entity=f"{key:016x}",
+                                   nonce=f"{random.getrandbits(128):032x}") for key, one in enumerate(usual * 3)))
+    for one in usual:
+        await one.ask("lookup", PATIENCE_MS)
+    burst = []
     if trouble():
-        manager.signal(signal.SIGCONT)
-    await asyncio.wait([answer], timeout=5)
-    sent = sorted(attempt.came for engine in (first, late) for attempt in engine.attempts if attempt.trace == trace)
-    if not sent:
-        raise CouldNotRun("the load was not sent")
-    breaks = [f"a further attempt of {trace} came to an engine {one - sent[0]:.3f} s after the first one, which may have"
-              f" run; the engines remember its key for {WINDOW_S} s" for one in sent[1:] if one > sent[0] + WINDOW_S + SLACK_S]
-    if len(group.effects.get(token, [])) > 1:
-        breaks.append(f"{token} was applied {len(group.effects[token])} times")
+        burst = [await Client(Quiet(), f"burst{number}").connect(manager.port) for number in range(BURST_CLIENTS)]
+        await asyncio.sleep(0.2)
+        for number, one in enumerate(burst):
+            one.writer.write(b"".join(load(one, 1000 + number, count == 0) for count in range(COMMANDS)))
+        record.line(f"{BURST_CLIENTS} clients have each written {COMMANDS} loads of a key of their own at once")
+    await asyncio.sleep(0.05)
+    busy = manager.processor_s()
+    sent = [one.send("lookup", PATIENCE_MS) for one in usual]
+    await asyncio.wait([answer for _, _, _, answer in sent], timeout=25)
+    breaks = []
+    for one, (_, trace, written, answer) in zip(usual, sent):
+        over = written + PATIENCE_MS / 1000
+        if not answer.done() or answer.result() is None:
+            breaks.append(f"{trace} of client {one.name} has no answer")
+        elif answer.result()["came"] > over + SLACK_S:
+            breaks.append(f"{trace} of client {one.name} was answered {answer.result()['came'] - over:.3f} s after its"
+                          f" time: {outcome(answer.result())}")
     if manager.exit_code() is not None:
         breaks.append("the workload manager has ended")
+    record.line(f"meanwhile the workload manager used {manager.processor_s() - busy:.2f} s of processor time")
+    answers = [answer for one in burst for each in one.answers.values() for answer in each]
+    record.line(f"burst: {len(answers)} answers, {sum('result' in answer for answer in answers)} of them served")
     return breaks
 
 
-async def play(record, managers):
-    """Three rounds at most: after one stop in ten the manager handles the timer of its connection first."""
-    for number in range(3):
-        record.line(f"round {number + 1}")
-        breaks = await play_round(record, managers)
-        managers.pop().end()
-        if breaks:
-            return breaks
-    return []
-
-
 main(play)
--- a/review/lib-2/rig.py
+++ b/review/lib-2/rig.py
@@ -349,6 +349,11 @@
     def exit_code(self):
         return self.process.poll()
 
+    def anonymous_kb(self):
+        """Private memory, without files and sockets; 0 once the process has ended."""
+        with open(f"/proc/{self.process.pid}/status", encoding="utf-8") as status:
+            return next((int(line.split()[1]) for line in status if line.startswith("RssAnon")), 0)
+
     def processor_s(self):
         with open(f"/proc/{self.process.pid}/stat", encoding="utf-8") as stat:
             fields = stat.read().rsplit(")", 1)[1].split()
