--- a/review/6/play.py
+++ b/review/6/play.py
@@ -32,13 +32,13 @@
 async def play(record, managers):
     channel = await Channel(record).start()
     engines = [await Engine(Quiet(), number + 1, on_request=run_long).start() for number in range(17)]
-    classes = [request_class("lookup", "pure", 7500), request_class("report", "pure", 25000)]
+    classes = [request_class("lookup", "pure", 2500), request_class("report", "pure", 25000)]
     manager = Manager(record, configuration(free_port(), channel, engines, classes, MEMORY_MB, SOCKETS))
     managers.append(manager)
     await manager.start()
     usual = [await Client(record, f"c{number}").connect(manager.port) for number in range(5)]
     for one in usual:
-        await one.ask("lookup", 6000)
+        await one.ask("lookup", 2000)
     sent = [one.send("report", 22000, weight=4000.0) for one in usual]
     peaks = []
     watching = asyncio.get_running_loop().create_task(watch(record, manager, peaks))
--- a/review/8/play.py
+++ b/review/8/play.py
@@ -1,7 +1,7 @@
 """Clients that send many commands at once, and whether the lookups of others get their answers in time."""
 from rig import *
 
-PATIENCE_MS = 2000  # kochi-signing: lookups are given up after 2.5 s, a try after 80 to 100% of that
+PATIENCE_MS = 2000  # lookups are given up after 2.5 s, a try after 80 to 100% of that
 SLACK_S = 0.5 + 0.05  # STANDING: half a second; PROTOCOL: every time limit is 50 ms longer
 BURST_CLIENTS, COMMANDS = 250, 31  # PROTOCOL: up to 32 open on a connection, connections a third of 1,024 at most
 
