--- a/review/7/play.py
+++ b/review/7/play.py
@@ -26,9 +26,14 @@
         client.send("report", 22000, weight=4000.0)
     if trouble():
         bad = [await Client(record, f"bad{number}").connect(manager.port) for number in range(BAD_CLIENTS)]
-        for one in bad:
-            one.send("report", 22000, weight=4000.0)
-        await asyncio.sleep(0.1)
+        asked = {one.send("report", 22000, weight=4000.0)[1] for one in bad}
+        for _ in range(200):  # all of them are to run before the halves come
+            if asked <= {attempt.trace for engine in engines for attempt in engine.attempts}:
+                break
+            await asyncio.sleep(0.05)
+        else:
+            raise CouldNotRun("not all requests of the bad clients came to an engine")
+        await asyncio.sleep(0.3)
         for one in bad:
             one.writer.write(HalfRequest.HALF)
         record.line(f"{BAD_CLIENTS} bad clients have each written 4 KB of a second request, and no more")
