--- a/review/7/play.py
+++ b/review/7/play.py
@@ -35,7 +35,7 @@
             raise CouldNotRun("not all requests of the bad clients came to an engine")
         await asyncio.sleep(0.3)
         for one in bad:
-            one.writer.write(HalfRequest.HALF)
+            one.write_half_and_close(HalfRequest.HALF)
         record.line(f"{BAD_CLIENTS} bad clients have each written 4 KB of a second request, and no more")
     await asyncio.sleep(0.02)
     statement = b"SELECT 1 FROM a_1.b WHERE c IN (" + b"'wreck'," * 750 + b"'buoy')"
