--- a/review/10/case.py
+++ b/review/10/case.py
@@ -5,7 +5,7 @@
 import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, FOLDER)
+sys.path.insert(0, os.path.join(FOLDER, "..", "lib-3"))
 import standins as s  # noqa: E402
 
 BAD_CLIENTS = 200  # "connect by hundreds"; with the usual ones below a third of 1,024 descriptors
