--- a/review/6/play.py
+++ b/review/6/play.py
@@ -1,12 +1,13 @@
-"""Bad clients that send a whole request and half of another one at once, and the memory of the workload manager."""
+"""Bad clients that name each other's open requests and send what cannot be read, and the workload manager's memory."""
 from rig import *
 
-MEMORY_MB, SOCKETS = 32, 1024  # DAYS: 32 to 192 MB, 256 to 1,024 descriptors
-BAD_CLIENTS, HALF_BYTES = 320, 95000  # PROTOCOL: no more than a third of the descriptors
+MEMORY_MB, SOCKETS = 192, 1024  # DAYS: 32 to 192 MB, 256 to 1,024 descriptors: the most of both
+BAD_CLIENTS = 32  # PROTOCOL: no more than a third of the descriptors
+UNREADABLE = b"\n" * 65000
 
 
 def run_long(attempt):
-    """The engines do not end a report while the case runs."""
+    """The engines do not end a request while the case runs."""
     return attempt.fields["kind"] == "report"
 
 
@@ -22,30 +23,38 @@
     return False
 
 
+async def send_bad(record, manager):
+    """Each has a request open. Then it sends the id of the next one's open request with another statement, and what
+    cannot be read, and closes after 3 s."""
+    bad = [await Client(record, f"bad{number}").connect(manager.port) for number in range(BAD_CLIENTS)]
+    traces = [one.send("report", 22000, b"SELECT 1 FROM a_2.b", weight=4000.0)[1] for one in bad]
+    await asyncio.sleep(0.5)
+    for number, one in enumerate(bad):
+        _, trace, line = one.line("report", 22000, b"SELECT 2 FROM a_2.b", weight=4000.0)
+        taken = traces[(number + 1) % BAD_CLIENTS]
+        one.write_half_and_close(line.replace(trace.encode(), taken.encode()) + UNREADABLE)
+    record.line(f"{BAD_CLIENTS} bad clients have each written the id of another one's open request with another"
+                f" statement, and {len(UNREADABLE)} empty lines")
+
+
 async def play(record, managers):
     channel = await Channel(record).start()
-    engines = [await Engine(record, number + 1, on_request=run_long).start() for number in range(17)]
-    classes = [request_class("lookup", "pure", 2500), request_class("report", "pure", 25000)]
+    engines = [await Engine(record, number + 1, on_request=run_long).start() for number in range(8)]
+    classes = [request_class("lookup", "pure", 7500), request_class("report", "pure", 25000)]
     manager = Manager(record, configuration(free_port(), channel, engines, classes, MEMORY_MB, SOCKETS))
     managers.append(manager)
     await manager.start()
     usual = [await Client(record, f"c{number}").connect(manager.port) for number in range(5)]
     for one in usual:
-        await one.ask("lookup", 2000)
+        await one.ask("lookup", 6000)
     sent = [one.send("report", 22000, weight=4000.0) for one in usual]
     peaks = []
     watching = asyncio.get_running_loop().create_task(watch(record, manager, peaks))
     await asyncio.sleep(0.5)
     record.line(f"{peaks[-1]} kB of anonymous memory before")
-    bad = []
     if trouble():
-        bad = [await Client(record, f"bad{number}").connect(manager.port) for number in range(BAD_CLIENTS)]
-        half = b'{"jsonrpc":"2.0","id":2,"method":"lookup","params":{"content":"' + b"A" * HALF_BYTES
-        for one in bad:
-            one.send("report", 22000, b"SELECT 1 FROM a_2.b", weight=4000.0)
-            one.write_half_and_close(half)
-        record.line(f"{BAD_CLIENTS} bad clients have each written a whole request and {len(half)} bytes of another one")
-    await asyncio.wait([watching], timeout=4)
+        await send_bad(record, manager)
+    await asyncio.wait([watching], timeout=5)
     record.line(f"highest anonymous memory: {max(peaks)} kB of {MEMORY_MB * 1024} kB")
     await asyncio.sleep(0.2)
     breaks = []
@@ -56,7 +65,6 @@
     elif manager.exit_code() is not None:
         breaks.append("the workload manager has ended")
     watching.cancel()
-    del bad
     return breaks
 
 
--- a/review/7/play.py
+++ b/review/7/play.py
@@ -1,10 +1,8 @@
-"""Half requests of other clients, and whether a client's whole request gets its answer in time."""
+"""Bad clients that send a whole request and half of another one at once, and the memory of the workload manager."""
 from rig import *
 
-DEADLINE_MS = 2500  # kochi-signing, lookup: given up after 2.5 s
-PATIENCE_MS = 2000  # a try is given up after 80 to 100% of that
-SLACK_S = 0.5 + 0.05  # STANDING: half a second; PROTOCOL: every time limit is 50 ms longer
-BAD_CLIENTS = 300
+MEMORY_MB, SOCKETS = 32, 1024  # DAYS: 32 to 192 MB, 256 to 1,024 descriptors
+BAD_CLIENTS, HALF_BYTES = 320, 95000  # PROTOCOL: no more than a third of the descriptors
 
 
 def run_long(attempt):
@@ -12,45 +10,53 @@
     return attempt.fields["kind"] == "report"
 
 
+async def watch(record, manager, peaks):
+    """The platform: it kills a workload manager that goes over its memory."""
+    while manager.exit_code() is None:
+        peaks.append(manager.anonymous_kb())
+        if peaks[-1] > MEMORY_MB * 1024:
+            record.line(f"the platform kills the workload manager: {peaks[-1]} kB of anonymous memory alone")
+            manager.process.kill()
+            return True
+        await asyncio.sleep(0.01)
+    return False
+
+
 async def play(record, managers):
     channel = await Channel(record).start()
     engines = [await Engine(record, number + 1, on_request=run_long).start() for number in range(17)]
-    classes = [{**request_class("lookup", "pure", DEADLINE_MS), "aim_ns": 500000000},
-               request_class("report", "pure", 25000)]
-    manager = Manager(record, configuration(free_port(), channel, engines, classes, memory_mb=32, sockets=1024))
+    classes = [request_class("lookup", "pure", 2500), request_class("report", "pure", 25000)]
+    manager = Manager(record, configuration(free_port(), channel, engines, classes, MEMORY_MB, SOCKETS))
     managers.append(manager)
     await manager.start()
-    clients = [await Client(record, f"c{number}").connect(manager.port) for number in range(3)]
-    for client in clients:
-        await client.ask("lookup", PATIENCE_MS)
-        client.send("report", 22000, weight=4000.0)
+    usual = [await Client(record, f"c{number}").connect(manager.port) for number in range(5)]
+    for one in usual:
+        await one.ask("lookup", 2000)
+    sent = [one.send("report", 22000, weight=4000.0) for one in usual]
+    peaks = []
+    watching = asyncio.get_running_loop().create_task(watch(record, manager, peaks))
+    await asyncio.sleep(0.5)
+    record.line(f"{peaks[-1]} kB of anonymous memory before")
+    bad = []
     if trouble():
         bad = [await Client(record, f"bad{number}").connect(manager.port) for number in range(BAD_CLIENTS)]
-        asked = {one.send("report", 22000, weight=4000.0)[1] for one in bad}
-        for _ in range(200):  # all of them are to run before the halves come
-            if asked <= {attempt.trace for engine in engines for attempt in engine.attempts}:
-                break
-            await asyncio.sleep(0.05)
-        else:
-            raise CouldNotRun("not all requests of the bad clients came to an engine")
-        await asyncio.sleep(0.3)
+        half = b'{"jsonrpc":"2.0","id":2,"method":"lookup","params":{"content":"' + b"A" * HALF_BYTES
         for one in bad:
-            one.write_half_and_close(HalfRequest.HALF)
-        record.line(f"{BAD_CLIENTS} bad clients have each written 4 KB of a second request, and no more")
-    await asyncio.sleep(0.02)
-    statement = b"SELECT 1 FROM a_1.b WHERE c IN (" + b"'wreck'," * 750 + b"'buoy')"
-    sent = [client.send("lookup", PATIENCE_MS, statement) for client in clients]
-    await asyncio.sleep(6)
+            one.send("report", 22000, b"SELECT 1 FROM a_2.b", weight=4000.0)
+            one.write_half_and_close(half)
+        record.line(f"{BAD_CLIENTS} bad clients have each written a whole request and {len(half)} bytes of another one")
+    await asyncio.wait([watching], timeout=4)
+    record.line(f"highest anonymous memory: {max(peaks)} kB of {MEMORY_MB * 1024} kB")
+    await asyncio.sleep(0.2)
     breaks = []
-    for client, (_, trace, written, answer) in zip(clients, sent):
-        over = written + PATIENCE_MS / 1000
-        if not answer.done() or answer.result() is None:
-            breaks.append(f"{trace} of client {client.name} has no answer")
-        elif answer.result()["came"] > over + SLACK_S:
-            breaks.append(f"{trace} of client {client.name} was answered {answer.result()['came'] - over:.3f} s after"
-                          f" its time: {outcome(answer.result())}")
-    if manager.exit_code() is not None:
+    if watching.done() and watching.result():
+        lost = sum(answer.done() and answer.result() is None for _, _, _, answer in sent)
+        breaks.append(f"over the memory limit: {peaks[-1]} kB of {MEMORY_MB * 1024} kB; killed, {lost} of {len(sent)} open"
+                      " requests of usual clients have no answer")
+    elif manager.exit_code() is not None:
         breaks.append("the workload manager has ended")
+    watching.cancel()
+    del bad
     return breaks
 
 
--- a/review/9/play.py
+++ b/review/9/play.py
@@ -1,56 +1,54 @@
-"""A client that sends much and goes while its first request waits for its turn, with half requests of other clients."""
+"""Half requests of other clients, and whether a client's whole request gets its answer in time."""
 from rig import *
 
-GRACE_S = 0.1 + 0.05  # STANDING: 0.1 s; PROTOCOL: every time limit is 50 ms longer
+DEADLINE_MS = 2500  # kochi-signing, lookup: given up after 2.5 s
+PATIENCE_MS = 2000  # a try is given up after 80 to 100% of that
+SLACK_S = 0.5 + 0.05  # STANDING: half a second; PROTOCOL: every time limit is 50 ms longer
+BAD_CLIENTS = 300
 
 
 def run_long(attempt):
-    """The engines do not end the reports of the bad clients while the case runs."""
+    """The engines do not end a report while the case runs."""
     return attempt.fields["kind"] == "report"
 
 
 async def play(record, managers):
     channel = await Channel(record).start()
-    engines = [await Engine(record, number + 1, work_ms=900, on_request=run_long).start() for number in range(6)]
-    classes = [request_class("lookup", "pure", 7500), request_class("report", "pure", 15000),
-               request_class("load", "token", 25000, key_scope="all", key_ttl_ns=25000000000, in_turn=True)]
-    manager = Manager(record, configuration(free_port(), channel, engines, classes, memory_mb=32, sockets=256))
+    engines = [await Engine(record, number + 1, on_request=run_long).start() for number in range(17)]
+    classes = [{**request_class("lookup", "pure", DEADLINE_MS), "aim_ns": 500000000},
+               request_class("report", "pure", 25000)]
+    manager = Manager(record, configuration(free_port(), channel, engines, classes, memory_mb=32, sockets=1024))
     managers.append(manager)
     await manager.start()
-    first, leaver = [await Client(record, name).connect(manager.port) for name in ("first", "leaver")]
-    bad = []
+    clients = [await Client(record, f"c{number}").connect(manager.port) for number in range(3)]
+    for client in clients:
+        await client.ask("lookup", PATIENCE_MS)
+        client.send("report", 22000, weight=4000.0)
     if trouble():
-        askers = [await Client(record, f"bad{number}").connect(manager.port) for number in range(8)]
-        for asker in askers:
-            asker.send("report", 14000, b"SELECT 1 FROM a_2.b")
-        await asyncio.sleep(0.05)
-        bad = await asyncio.gather(*(HalfRequest().connect(manager.port) for _ in range(52)))
-        for asker in askers:
-            asker.write_half_and_close(HalfRequest.HALF)
-        record.line("60 bad clients have each written half a request of 4 KB, 8 of them behind a whole one")
-    await asyncio.sleep(0.05)
-    key = f"{random.getrandbits(64):016x}"
-    first.send("load", 22000, b"INSERT INTO a_1.depths VALUES (1,17.5)", entity=key,
-               nonce=f"{random.getrandbits(128):032x}", weight=900.0)
-    await asyncio.sleep(0.1)
-    waiting = leaver.send("load", 22000, b"INSERT INTO a_1.depths VALUES (1,12.0)", entity=key,
-                          nonce=f"{random.getrandbits(128):032x}", weight=900.0)
-    await asyncio.sleep(0.1)
-    for _ in range(3):
-        leaver.writer.write(leaver.line("lookup", 7000, b"SELECT 1 FROM a_1.b WHERE c IN (" + b"'wreck'," * 7500
-                                        + b"'buoy')")[2])
-    if leaver.writer.transport.get_write_buffer_size() > 0:
-        raise CouldNotRun("the lookups could not be written at once")
-    leaver.writer.transport.abort()
-    await asyncio.sleep(0.01)
-    left = time.time()
-    record.line("client leaver wrote three lookups of 80 KB and closed its connection")
-    await asyncio.sleep(4)
+        bad = [await Client(record, f"bad{number}").connect(manager.port) for number in range(BAD_CLIENTS)]
+        asked = {one.send("report", 22000, weight=4000.0)[1] for one in bad}
+        for _ in range(200):  # all of them are to run before the halves come
+            if asked <= {attempt.trace for engine in engines for attempt in engine.attempts}:
+                break
+            await asyncio.sleep(0.05)
+        else:
+            raise CouldNotRun("not all requests of the bad clients came to an engine")
+        await asyncio.sleep(0.3)
+        for one in bad:
+            one.write_half_and_close(HalfRequest.HALF)
+        record.line(f"{BAD_CLIENTS} bad clients have each written 4 KB of a second request, and no more")
+    await asyncio.sleep(0.02)
+    statement = b"SELECT 1 FROM a_1.b WHERE c IN (" + b"'wreck'," * 750 + b"'buoy')"
+    sent = [client.send("lookup", PATIENCE_MS, statement) for client in clients]
+    await asyncio.sleep(6)
     breaks = []
-    for engine in engines:
-        for attempt in engine.attempts:
-            if attempt.trace == waiting[1] and attempt.came > left + GRACE_S:
-                breaks.append(f"an attempt of {attempt.trace} began {attempt.came - left:.3f} s after its client had gone")
+    for client, (_, trace, written, answer) in zip(clients, sent):
+        over = written + PATIENCE_MS / 1000
+        if not answer.done() or answer.result() is None:
+            breaks.append(f"{trace} of client {client.name} has no answer")
+        elif answer.result()["came"] > over + SLACK_S:
+            breaks.append(f"{trace} of client {client.name} was answered {answer.result()['came'] - over:.3f} s after"
+                          f" its time: {outcome(answer.result())}")
     if manager.exit_code() is not None:
         breaks.append("the workload manager has ended")
     return breaks
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# The stand-ins of the cases 6 to 9 are scripts (lib-2/rig.py and each case's play.py): there is nothing to build.
+# The stand-ins of the cases 6 to 10 are scripts (lib-2/rig.py and each case's play.py): there is nothing to build.
 # Checks that the interpreter can run them and that the deploy file's build has left the program.
 set -eu
 cd "$(dirname "$0")/.."
--- a/review/lib-2/rig.py
+++ b/review/lib-2/rig.py
@@ -1,4 +1,4 @@
-"""Stand-ins for the platform, engines and clients of a workload manager, for the cases 6 to 9.
+"""Stand-ins for the platform, engines and clients of a workload manager, for the cases 6 to 10.
 
 They follow the pages PROTOCOL, DEPLOY, DAYS and STANDING. Everything runs on loopback addresses and the real clock.
 """
