Client input ends at its first invalid message, and a read is bounded in time

Cause: a read was parsed to its end, up to 65,536 lines with an error text each, before its first message was validated; 25 ms of the event loop for each connection. Each connection that was ready had its turn before a request that came later.

Change: MessageBatch validates a message before the next line is parsed, and nothing after the first invalid one is parsed. A read ends after 64 KiB or 1 ms; clients with more input wait in a backlog that has 2 ms in each turn of the event loop. LineSplitter moves to its own file and copies only the bytes of an incomplete line, in blocks of one size. It refers to the bytes of a feed until all lines are taken, so two of its tests keep their input and take the lines after each feed; they expect the same as before.

--- a/fuzz/jsonrpc.cpp
+++ b/fuzz/jsonrpc.cpp
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "protocol/jsonrpc/calls.hpp"
+#include "protocol/jsonrpc/line_splitter.hpp"
 #include "target.hpp"
 
 namespace {
--- a/src/platform/client.cpp
+++ b/src/platform/client.cpp
@@ -19,7 +19,6 @@
 
 namespace {
 
-constexpr std::size_t max_unwritten_lines = 128;  // for a client that does not read its answers
 constexpr auto first_message_timeout = 2s;
 constexpr auto idle_timeout = 6s;  // clients close their connections after 4 s without an open request
 constexpr auto write_timeout = 4s;  // since the last progress
@@ -125,26 +124,39 @@
 
 // ---- Messages ----
 
-std::optional<jsonrpc::Problem> Client::find_problem(const std::vector<jsonrpc::Message>& messages) const {
-  const std::size_t unwritten_lines = output_.unwritten_lines();
-  if (unwritten_lines > 0 && unwritten_lines + messages.size() > max_unwritten_lines)
-    return jsonrpc::Problem{std::nullopt, jsonrpc::ErrorCode::rejected, "too many unread answers"};
+ConnectionLoad Client::load() const {
   ConnectionLoad load;
   for (const auto& [id, session] : open_requests_)
     load.open_requests.emplace(id, context_.requests.trace_of(session).value_or(0));
   load.last_id = last_id_;
   load.unwritten_answers = output_.unwritten_answers();
+  load.unwritten_lines = output_.unwritten_lines();
   pending_messages_.add_to(load);
-  return BatchValidator(context_.requests, std::move(load)).find_problem(messages);
+  return load;
 }
 
-void Client::accept(std::vector<jsonrpc::Message> messages) {
-  if (messages.empty()) return;
+void Client::accept(MessageBatch batch) {
   last_used_ = host_.now();
-  if (const auto problem = find_problem(messages)) {
-    reject(messages, *problem);
-    return;
+  if (!batch.problem()) resolve_contested(batch);
+  if (batch.problem()) {
+    reject(batch.messages(), *batch.problem());
+  } else {
+    enqueue(batch.take_messages());
+  }
+}
+
+// Whether the trace ids are still in use is known only once the clients that used them have been read.
+void Client::resolve_contested(MessageBatch& batch) {
+  is_reading_ = true;  // other clients' input may lead back to this one
+  for (const std::uint64_t trace : batch.contested_traces()) {
+    const auto holder = context_.requests.client_of_trace(trace);
+    if (holder != nullptr) holder->read_pending_input_beyond_limit();
   }
+  is_reading_ = false;
+  batch.resolve_contested();
+}
+
+void Client::enqueue(std::vector<jsonrpc::Message> messages) {
   has_sent_message_ = true;
   for (jsonrpc::Message& message : messages) {
     const auto* cancellation = std::get_if<jsonrpc::CancelRequest>(&message);
--- a/src/platform/client.hpp
+++ b/src/platform/client.hpp
@@ -19,6 +19,7 @@
 #include "output_buffer.hpp"
 #include "partial_message.hpp"
 #include "protocol/jsonrpc/calls.hpp"
+#include "protocol/jsonrpc/line_splitter.hpp"
 #include "service/socket_calls.hpp"
 
 namespace paddlestand::platform {
@@ -48,6 +49,8 @@
 
   /// Starts reading.
   void start();
+  /// Reads on, when it is the turn of this connection among those that have more input than one read takes.
+  void read_from_backlog();
   /// Closes the connection immediately and logs the reason. Unread input causes a reset, so this is only for
   /// clients at fault.
   void close(std::string_view reason);
@@ -124,22 +127,29 @@
   };
 
   // Input.
+  struct ReadProgress {
+    std::size_t bytes_left;  // until the limit of one read
+    TimePoint ends_at;
+    std::optional<MessageBatch> batch{};  // the messages completed so far, if there are any
+  };
   boost::asio::awaitable<void> read_loop();
+  void wait_in_backlog();
   InputStatus read_input();
-  service::IoResult receive_available(std::size_t limit, std::size_t& received_bytes);
+  service::IoResult receive_available(ReadProgress& progress);
+  bool take_lines(std::string_view bytes, std::optional<MessageBatch>& batch);
   [[nodiscard]] std::size_t readable_bytes();
   [[nodiscard]] InputBudget::Priority input_priority() const;
   void pause_reading();
   void end_pause();
   void release_slot();
   void release_slot_if_unused();
-  void accept_received_lines();
+  void accept_received(std::optional<MessageBatch> batch);
   void process_pending_messages();
   void drop_input(std::size_t bytes);
-  std::vector<jsonrpc::Message> complete_messages();
-  [[nodiscard]] std::optional<jsonrpc::Problem> find_problem(
-      const std::vector<jsonrpc::Message>& messages) const;
-  void accept(std::vector<jsonrpc::Message> messages);
+  [[nodiscard]] ConnectionLoad load() const;
+  void accept(MessageBatch batch);
+  void resolve_contested(MessageBatch& batch);
+  void enqueue(std::vector<jsonrpc::Message> messages);
   void withdraw_pending(const jsonrpc::CancelRequest& cancellation);
   void process(PendingMessages::Entry entry);
   void process(jsonrpc::Query query, TimePoint received);
@@ -181,6 +191,7 @@
   bool has_sent_message_ = false;
   bool is_write_loop_running_ = false;
   bool is_read_loop_running_ = false;
+  bool is_in_backlog_ = false;
   bool is_reading_ = false;
   bool is_processing_messages_ = false;
 };
--- a/src/platform/client_input.cpp
+++ b/src/platform/client_input.cpp
@@ -1,7 +1,6 @@
 // Client: reading its input, and the input slots that bound the memory of incomplete messages.
 #include <algorithm>
 #include <boost/asio/post.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include "client.hpp"
 #include "client_registry.hpp"
@@ -16,6 +15,8 @@
 
 constexpr std::size_t max_bytes_without_slot = std::size_t{2} * 1024;
 constexpr std::size_t max_bytes_per_read = std::size_t{64} * 1024;  // per client and turn of the event loop
+constexpr std::size_t max_bytes_per_call = std::size_t{16} * 1024;
+constexpr Duration max_read_time = std::chrono::milliseconds(1);  // per client and turn of the event loop
 constexpr std::size_t max_dropped_bytes =
     std::size_t{256} * 1024;  // received after the connection began to end
 
@@ -31,23 +32,42 @@
 
 // ---- Reading ----
 
+// After each read that leaves input, the client waits in the backlog, so that one that sends continuously
+// delays no other.
 asio::awaitable<void> Client::read_loop() {
   const auto self = shared_from_this();
   while (!is_closed()) {
     co_await socket_.wait_to_receive(last_receive_);
     if (is_closed()) co_return;
-    InputStatus status = read_input();
-    // After each turn, a client that sends continuously yields to the others.
-    while (status == InputStatus::more_available) {
-      co_await asio::post(host_.io(), asio::use_awaitable);
-      if (is_closed()) co_return;
-      status = read_input();
-    }
+    const InputStatus status = read_input();
     if (status == InputStatus::paused) break;
+    if (status == InputStatus::more_available) {
+      wait_in_backlog();
+      break;
+    }
   }
   is_read_loop_running_ = false;
 }
 
+void Client::wait_in_backlog() {
+  if (is_in_backlog_) return;
+  is_in_backlog_ = true;
+  input_times_.record_pause(host_.now(), Duration{});
+  context_.registry.add_to_backlog(shared_from_this());
+}
+
+void Client::read_from_backlog() {
+  is_in_backlog_ = false;
+  if (is_closed()) return;
+  const InputStatus status = read_input();
+  if (is_closed() || status == InputStatus::paused) return;
+  if (status == InputStatus::more_available) {
+    wait_in_backlog();
+  } else if (!is_read_loop_running_) {
+    start();
+  }
+}
+
 void Client::read_pending_input() {
   if (is_closed() || is_reading_ || paused_since_) return;
   const auto self = shared_from_this();
@@ -127,7 +147,7 @@
 }
 
 // Reads all available input, up to a limit, before processing any of it, so that no work starts for a client
-// that sends a lot and disconnects.
+// that sends a lot and disconnects, or that sends an invalid message right after valid ones.
 Client::InputStatus Client::read_input() {
   const TimePoint began = host_.now();
   const std::size_t limit = readable_bytes();
@@ -135,9 +155,9 @@
     pause_reading();
     return paused_since_ ? InputStatus::paused : InputStatus::more_available;
   }
-  std::size_t received_bytes = 0;
+  ReadProgress progress{.bytes_left = limit, .ends_at = began + max_read_time};
   is_reading_ = true;
-  const IoResult last = receive_available(limit, received_bytes);
+  const IoResult last = receive_available(progress);
   is_reading_ = false;
   if (is_closed()) return InputStatus::ended;
   last_receive_ = last.status;
@@ -147,46 +167,58 @@
     return InputStatus::ended;
   }
   input_times_.record_read(read_outcome_of(last.status), began, host_.now(), host_.event_loop_lag());
-  if (received_bytes == 0) {
+  if (progress.bytes_left == limit) {
     release_slot_if_unused();
     return InputStatus::drained;
   }
   last_received_ = host_.now();
-  if (is_open()) accept_received_lines();
+  if (is_open()) accept_received(std::move(progress.batch));
   release_slot_if_unused();
   process_pending_messages();
   if (is_closed()) return InputStatus::ended;
   return last.status == IoStatus::progress ? InputStatus::more_available : InputStatus::drained;
 }
 
-IoResult Client::receive_available(std::size_t limit, std::size_t& received_bytes) {
+IoResult Client::receive_available(ReadProgress& progress) {
   IoResult last;
-  while (received_bytes < limit && !is_closed()) {
-    const auto scratch = host_.scratch().first(limit - received_bytes);
+  do {
+    const auto scratch = host_.scratch().first(std::min(progress.bytes_left, max_bytes_per_call));
     last = socket_.receive(scratch);
     if (last.status != IoStatus::progress) break;
-    received_bytes += last.bytes;
-    if (is_open()) {
-      lines_.feed({scratch.data(), last.bytes});
-    } else {
+    progress.bytes_left -= last.bytes;
+    if (!is_open()) {
       drop_input(last.bytes);
+    } else if (!take_lines({scratch.data(), last.bytes}, progress.batch)) {
+      break;
     }
-  }
+  } while (progress.bytes_left > 0 && !is_closed() && host_.now() < progress.ends_at);
   return last;
 }
 
+// Parses no line after the first invalid message. Returns whether all messages are valid.
+bool Client::take_lines(std::string_view bytes, std::optional<MessageBatch>& batch) {
+  lines_.feed(bytes);
+  while (const auto line = lines_.next()) {
+    if (!batch) batch.emplace(context_.requests, *this, load());
+    if (batch->add(context_.calls.read(*line))) continue;
+    lines_.discard();
+    return false;
+  }
+  if (!lines_.too_long()) return true;
+  if (!batch) batch.emplace(context_.requests, *this, load());
+  return batch->add(
+      jsonrpc::Problem{std::nullopt, jsonrpc::ErrorCode::invalid_request, "message is too long"});
+}
+
 void Client::drop_input(std::size_t bytes) {
   dropped_bytes_ += bytes;
   context_.registry.count_dropped(bytes);
   if (dropped_bytes_ > max_dropped_bytes) close("client keeps writing after the end of its connection");
 }
 
-void Client::accept_received_lines() {
-  auto messages = complete_messages();
-  partial_message_.record_input(lines_.has_partial_line(), !messages.empty(), last_received_);
-  is_reading_ = true;  // validation reads other clients' input, which could re-enter this function
-  accept(std::move(messages));
-  is_reading_ = false;
+void Client::accept_received(std::optional<MessageBatch> batch) {
+  partial_message_.record_input(lines_.has_partial_line(), batch.has_value(), last_received_);
+  if (batch) accept(std::move(*batch));
 }
 
 // Not re-entered: input that is read while a message is being processed is left to the running loop.
@@ -202,15 +234,4 @@
   flush();
 }
 
-std::vector<jsonrpc::Message> Client::complete_messages() {
-  std::vector<jsonrpc::Message> messages;
-  while (const auto line = lines_.next()) messages.push_back(context_.calls.read(*line));
-  if (lines_.too_long()) {
-    messages.emplace_back(
-        std::in_place_type<jsonrpc::Problem>,
-        jsonrpc::Problem{std::nullopt, jsonrpc::ErrorCode::invalid_request, "message is too long"});
-  }
-  return messages;
-}
-
 }  // namespace paddlestand::platform
--- a/src/platform/client_registry.cpp
+++ b/src/platform/client_registry.cpp
@@ -1,6 +1,7 @@
 #include "client_registry.hpp"
 
 #include <algorithm>
+#include <boost/asio/post.hpp>
 #include <tuple>
 #include <utility>
 
@@ -14,6 +15,7 @@
 constexpr auto backlog_log_period = std::chrono::milliseconds(100);
 constexpr auto sending_pause = std::chrono::seconds(1);  // between the bytes of a message
 constexpr auto non_reader_timeout = std::chrono::seconds(1);
+constexpr Duration max_backlog_time = std::chrono::milliseconds(2);  // per turn of the event loop
 
 /// Sort key of eviction: lingering connections first, then those without a message yet, then the least
 /// recently used.
@@ -47,6 +49,22 @@
   client->start();
 }
 
+void ClientRegistry::add_to_backlog(std::shared_ptr<Client> client) {
+  backlog_.push_back(std::move(client));
+  if (backlog_.size() == 1) boost::asio::post(host_.io(), [this] { read_backlog(); });
+}
+
+void ClientRegistry::read_backlog() {
+  const TimePoint end = host_.now() + max_backlog_time;
+  const std::size_t waiting = backlog_.size();
+  for (std::size_t i = 0; i < waiting && host_.now() < end; ++i) {
+    const std::shared_ptr<Client> client = std::move(backlog_.front());
+    backlog_.pop_front();
+    client->read_from_backlog();
+  }
+  if (!backlog_.empty()) boost::asio::post(host_.io(), [this] { read_backlog(); });
+}
+
 // The first candidate may have a request on its way; then one more is tried. No further candidates are tried,
 // since each check costs a system call and there may be thousands of new connections.
 bool ClientRegistry::make_room() {
--- a/src/platform/client_registry.hpp
+++ b/src/platform/client_registry.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <boost/asio/ip/tcp.hpp>
+#include <deque>
 #include <map>
 #include <memory>
 #include <string_view>
@@ -54,6 +55,9 @@
   void wait_for_slot(const Client& client, InputBudget::Priority priority);
   /// Gives available input slots to the connections that wait for one.
   void grant_slots();
+  /// Lets a connection read on after those that already wait. All of them share a bounded time in each turn
+  /// of the event loop, so that connections with little input do not wait for them.
+  void add_to_backlog(std::shared_ptr<Client> client);
   void count_dropped(std::size_t bytes) { dropped_bytes_ += bytes; }
   /// Counts a connection that is closed because of a fault, and logs that at most once per second.
   void log_rejection(const Client& client, const jsonrpc::Problem& problem);
@@ -63,6 +67,7 @@
  private:
   using Clients = std::vector<std::shared_ptr<Client>>;
 
+  void read_backlog();
   bool make_room();
   [[nodiscard]] std::shared_ptr<Client> best_to_evict(const std::shared_ptr<Client>& excluded) const;
   void turn_away_stalled(Clients clients, TimePoint now);
@@ -75,6 +80,7 @@
   ResourceLimits limits_;
   InputBudget input_budget_;
   std::map<std::uint64_t, std::shared_ptr<Client>> clients_;  // by number, in order of arrival
+  std::deque<std::shared_ptr<Client>> backlog_;  // those with more input than one read takes
   std::uint64_t last_number_ = 0;
   std::size_t dropped_bytes_ = 0;
   std::uint64_t rejections_ = 0;
--- a/src/platform/message_batch.cpp
+++ b/src/platform/message_batch.cpp
@@ -6,28 +6,33 @@
 namespace {
 
 constexpr std::size_t max_open_requests = 32;  // per connection, as defined by the protocol
+constexpr std::size_t max_unwritten_lines = 128;  // for a client that does not read its answers
 
 }  // namespace
 
-std::optional<jsonrpc::Problem> BatchValidator::find_problem(const std::vector<jsonrpc::Message>& messages) {
-  for (const jsonrpc::Message& message : messages) {
-    if (const auto* problem = std::get_if<jsonrpc::Problem>(&message)) return *problem;
-    if (const auto* cancellation = std::get_if<jsonrpc::CancelRequest>(&message)) apply(*cancellation);
-    const auto* query = std::get_if<jsonrpc::Query>(&message);
-    if (query == nullptr) continue;
-    if (auto problem = validate(*query)) return problem;
-  }
-  return std::nullopt;
+bool MessageBatch::add(jsonrpc::Message message) {
+  problem_ = find_problem(message);
+  messages_.push_back(std::move(message));
+  return !problem_;
+}
+
+std::optional<jsonrpc::Problem> MessageBatch::find_problem(const jsonrpc::Message& message) {
+  if (const auto* problem = std::get_if<jsonrpc::Problem>(&message)) return *problem;
+  if (load_.unwritten_lines > 0 && load_.unwritten_lines + messages_.size() >= max_unwritten_lines)
+    return jsonrpc::Problem{std::nullopt, jsonrpc::ErrorCode::rejected, "too many unread answers"};
+  if (const auto* cancellation = std::get_if<jsonrpc::CancelRequest>(&message)) apply(*cancellation);
+  const auto* query = std::get_if<jsonrpc::Query>(&message);
+  return query == nullptr ? std::nullopt : find_problem(*query);
 }
 
-void BatchValidator::apply(const jsonrpc::CancelRequest& cancellation) {
+void MessageBatch::apply(const jsonrpc::CancelRequest& cancellation) {
   std::erase_if(load_.open_requests, [&](const auto& request) {
     const auto& [id, trace] = request;
     return cancellation.matches(id, trace);
   });
 }
 
-std::optional<jsonrpc::Problem> BatchValidator::validate(const jsonrpc::Query& query) {
+std::optional<jsonrpc::Problem> MessageBatch::find_problem(const jsonrpc::Query& query) {
   const auto problem = [&](jsonrpc::ErrorCode code, const char* text) {
     return jsonrpc::Problem{query.id, code, text};
   };
@@ -35,8 +40,9 @@
     return problem(jsonrpc::ErrorCode::invalid_request,
                    "id: expected one above all ids used on this connection");
   }
-  if (requests_.is_trace_open(query.trace) || !load_.pending_traces.insert(query.trace).second)
-    return problem(jsonrpc::ErrorCode::invalid_params, "trace: already in use by an open request");
+  const std::shared_ptr<Client> holder = requests_.client_of_trace(query.trace);
+  if (holder.get() == &owner_ || !load_.pending_traces.insert(query.trace).second) return in_use(query);
+  if (holder != nullptr) contested_.push_back(query.trace);
   load_.open_requests.emplace(query.id, query.trace);
   // Requests whose answers the client has not read still count as open.
   if (load_.open_requests.size() + load_.unwritten_answers > max_open_requests)
@@ -45,6 +51,19 @@
   return std::nullopt;
 }
 
+jsonrpc::Problem MessageBatch::in_use(const jsonrpc::Query& query) {
+  return {query.id, jsonrpc::ErrorCode::invalid_params, "trace: already in use by an open request"};
+}
+
+void MessageBatch::resolve_contested() {
+  contested_.clear();
+  for (const jsonrpc::Message& message : messages_) {
+    const auto* query = std::get_if<jsonrpc::Query>(&message);
+    if (problem_ || query == nullptr || requests_.client_of_trace(query->trace) == nullptr) continue;
+    problem_ = in_use(*query);
+  }
+}
+
 void PendingMessages::push(jsonrpc::Message message, TimePoint received) {
   entries_.push_back({std::move(message), received});
 }
--- a/src/platform/message_batch.hpp
+++ b/src/platform/message_batch.hpp
@@ -1,11 +1,12 @@
-/// Validates the messages of a client that were read together before any of them is processed. A client that
-/// sends an invalid message after valid requests, or cancels its requests immediately, causes no load on the
-/// engines. No I/O.
+/// The messages of a client that were received together. All of them are validated before any is processed: a
+/// client that sends an invalid message after valid requests, or cancels its requests immediately, causes no
+/// load on the engines. No I/O.
 #pragma once
 
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <vector>
@@ -15,6 +16,7 @@
 
 namespace paddlestand::platform {
 
+class Client;
 class RequestHandler;
 
 /// The size of the largest message of a client, which fits the largest statement in base64.
@@ -26,24 +28,41 @@
   std::set<std::uint64_t> pending_traces;  ///< of requests that were read but not processed yet
   std::int64_t last_id = 0;  ///< the highest request id used so far
   std::size_t unwritten_answers = 0;
+  std::size_t unwritten_lines = 0;  ///< answers and other lines
 };
 
-/// Checks the requests of a batch against each other and against those already open.
-class BatchValidator {
+/// The messages that one read has completed, up to the first invalid one.
+class MessageBatch {
  public:
-  BatchValidator(RequestHandler& requests, ConnectionLoad load)
-      : requests_(requests), load_(std::move(load)) {}
+  /// `owner`: the client that sent them. The arguments must outlive the batch.
+  MessageBatch(const RequestHandler& requests, const Client& owner, ConnectionLoad load)
+      : requests_(requests), owner_(owner), load_(std::move(load)) {}
 
-  /// Returns the first problem in the batch, for which the connection has to be closed. Reads the input of
-  /// clients that have requests with the same trace ids open.
-  [[nodiscard]] std::optional<jsonrpc::Problem> find_problem(const std::vector<jsonrpc::Message>& messages);
+  /// Adds the next message. Returns false if it is invalid: the connection has to be closed, and no further
+  /// message is added.
+  [[nodiscard]] bool add(jsonrpc::Message message);
+
+  [[nodiscard]] const std::vector<jsonrpc::Message>& messages() const { return messages_; }
+  [[nodiscard]] std::vector<jsonrpc::Message> take_messages() { return std::move(messages_); }
+  [[nodiscard]] const std::optional<jsonrpc::Problem>& problem() const { return problem_; }
+  /// The trace ids that other clients' requests have, unless these clients have left in the meantime: they
+  /// must be read first. Then resolve_contested() decides.
+  [[nodiscard]] const std::vector<std::uint64_t>& contested_traces() const { return contested_; }
+  /// Finds a problem if a trace id is in use by an open request.
+  void resolve_contested();
 
  private:
-  std::optional<jsonrpc::Problem> validate(const jsonrpc::Query& query);
+  std::optional<jsonrpc::Problem> find_problem(const jsonrpc::Message& message);
+  std::optional<jsonrpc::Problem> find_problem(const jsonrpc::Query& query);
   void apply(const jsonrpc::CancelRequest& cancellation);
+  static jsonrpc::Problem in_use(const jsonrpc::Query& query);
 
-  RequestHandler& requests_;
-  ConnectionLoad load_;
+  const RequestHandler& requests_;
+  const Client& owner_;
+  ConnectionLoad load_;  // of the connection, with these messages
+  std::vector<jsonrpc::Message> messages_;
+  std::optional<jsonrpc::Problem> problem_;
+  std::vector<std::uint64_t> contested_;
 };
 
 /// The messages of one client that were read but not processed yet, in order of arrival. More messages may be
--- a/src/platform/request_handler.cpp
+++ b/src/platform/request_handler.cpp
@@ -81,13 +81,6 @@
   host_.dispatch(core::SessionClosed{session});
 }
 
-bool RequestHandler::is_trace_open(std::uint64_t trace) {
-  const std::shared_ptr<Client> holder = requests_.client_of_trace(trace);
-  if (holder == nullptr) return false;
-  holder->read_pending_input_beyond_limit();
-  return requests_.is_trace_open(trace);
-}
-
 void RequestHandler::log_cancellation(std::size_t requests) {
   if (host_.is_tracing())
     host_.log().info(observe::LogEvent::request_cancelled, {{Field::requests, requests}});
--- a/src/platform/request_handler.hpp
+++ b/src/platform/request_handler.hpp
@@ -33,9 +33,11 @@
               TimePoint received);
   /// Marks a request as abandoned by its client; it gets no answer.
   void abandon(core::SessionId session);
-  /// Whether a connected client has a request with this trace id open. Reads that client's input first, since
-  /// a client may repeat a request on a new connection before the end of the old one was read.
-  [[nodiscard]] bool is_trace_open(std::uint64_t trace);
+  /// The client that waits for the request with this trace id; null if there is none. It may have left
+  /// without its end having been read.
+  [[nodiscard]] std::shared_ptr<Client> client_of_trace(std::uint64_t trace) const {
+    return requests_.client_of_trace(trace);
+  }
   [[nodiscard]] std::optional<std::uint64_t> trace_of(core::SessionId session) const {
     return requests_.trace_of(session);
   }
--- a/src/protocol/jsonrpc/calls.cpp
+++ b/src/protocol/jsonrpc/calls.cpp
@@ -21,7 +21,6 @@
 constexpr double min_client_timeout_ms = 1e-3;
 constexpr double max_cost_ms = 24 * 3600e3;
 constexpr double max_memory_mb = 1e8;
-constexpr std::size_t max_idle_capacity = 16UL * 1024;  // bytes that an empty line buffer keeps allocated
 constexpr std::size_t result_overhead_bytes = 96;  // around the body of a result
 
 bool is_hex(std::string_view text, std::size_t count) {
@@ -240,66 +239,6 @@
   return query;
 }
 
-void LineSplitter::feed(std::string_view bytes) {
-  if (too_long_) return;
-  if (next_line_ > 0 && next_line_ == bytes_.size()) {
-    bytes_.clear();
-    next_line_ = 0;
-    searched_ = 0;
-  }
-  reserve_for(bytes.size());
-  bytes_.append(bytes);
-}
-
-// Grows beyond the limit only for the lines that complete the unfinished one. std::string::reserve() would at
-// least double the memory, which hundreds of connections can't afford.
-void LineSplitter::reserve_for(std::size_t more_bytes) {
-  const std::size_t needed = bytes_.size() + more_bytes;
-  if (needed <= bytes_.capacity()) return;
-  std::string larger;
-  larger.reserve(std::max(needed, std::min(2 * bytes_.capacity(), max_bytes_)));
-  larger.append(bytes_);
-  bytes_ = std::move(larger);
-}
-
-void LineSplitter::discard() {
-  std::string().swap(bytes_);
-  next_line_ = 0;
-  searched_ = 0;
-}
-
-void LineSplitter::discard_oversized_line() {
-  too_long_ = true;
-  discard();
-}
-
-void LineSplitter::discard_returned_lines() {
-  bytes_.erase(0, next_line_);
-  next_line_ = 0;
-  searched_ = bytes_.size();
-  const bool is_mostly_unused = bytes_.capacity() > max_bytes_ || bytes_.size() < bytes_.capacity() / 4;
-  if (bytes_.capacity() > max_idle_capacity && is_mostly_unused) bytes_.shrink_to_fit();
-}
-
-std::optional<std::string_view> LineSplitter::next() {
-  if (too_long_) return std::nullopt;
-  const auto end = bytes_.find('\n', std::max(next_line_, searched_));
-  const std::size_t length = std::min(end, bytes_.size()) - next_line_;
-  if (length > max_bytes_) {
-    discard_oversized_line();
-    return std::nullopt;
-  }
-  if (end == std::string::npos) {
-    discard_returned_lines();
-    return std::nullopt;
-  }
-  std::string_view line = std::string_view(bytes_).substr(next_line_, length);
-  next_line_ = end + 1;
-  searched_ = 0;
-  if (!line.empty() && line.back() == '\r') line.remove_suffix(1);
-  return line;
-}
-
 void put_result(std::string& out, std::int64_t id, std::string_view body) {
   out.reserve(out.size() + body.size() * 4 / 3 + result_overhead_bytes);
   put_id(out, id);
--- a/src/protocol/jsonrpc/calls.hpp
+++ b/src/protocol/jsonrpc/calls.hpp
@@ -92,38 +92,6 @@
   const std::vector<TenantSettings>& tenants_;
 };
 
-/// Splits a byte stream into lines. Buffers at most one unfinished line of up to `max_bytes`, in at most as
-/// much memory.
-class LineSplitter {
- public:
-  explicit LineSplitter(std::size_t max_bytes) : max_bytes_(max_bytes) {}
-
-  void feed(std::string_view bytes);
-  /// Returns the next complete line, valid until the next call, or std::nullopt if more bytes are needed.
-  std::optional<std::string_view> next();
-  /// Whether a line exceeded the limit. No further input is buffered and no further line is returned.
-  [[nodiscard]] bool too_long() const { return too_long_; }
-  /// Discards the buffered bytes and releases their memory.
-  void discard();
-  /// Whether the buffer holds an incomplete line.
-  [[nodiscard]] bool has_partial_line() const { return next_line_ < bytes_.size(); }
-  /// The number of buffered bytes.
-  [[nodiscard]] std::size_t buffered_bytes() const { return bytes_.size(); }
-  /// The size of the buffer's memory.
-  [[nodiscard]] std::size_t allocated_bytes() const { return bytes_.capacity(); }
-
- private:
-  void reserve_for(std::size_t more_bytes);
-  void discard_oversized_line();
-  void discard_returned_lines();
-
-  std::size_t max_bytes_;
-  std::string bytes_;
-  std::size_t next_line_ = 0;  ///< offset of the next line
-  std::size_t searched_ = 0;  ///< bytes known to contain no line end
-  bool too_long_ = false;
-};
-
 /// Appends the result of a query.
 void put_result(std::string& out, std::int64_t id, std::string_view body);
 /// Appends an error; `retry_after` is the retry advice, zero if there is none.
--- a/tests/incidents/large_requests.hpp
+++ b/tests/incidents/large_requests.hpp
@@ -7,13 +7,17 @@
 
 namespace paddlestand::platform::test {
 
-/// A request with a statement of the given size.
-inline std::string large_request_line(int id, std::uint64_t trace, std::size_t statement_bytes) {
-  const std::string small = RawClient::request_line(id, trace);
+/// The given request line of RawClient with a statement of the given size in place of its small one.
+inline std::string with_statement(const std::string& line, std::size_t statement_bytes) {
   const std::string statement = "SELECT '" + std::string(statement_bytes, 'x') + "' FROM a_1.b";
   const std::string small_content = base64("SELECT 1 FROM a_1.b");
-  const std::size_t at = small.find(small_content);
-  return small.substr(0, at) + base64(statement) + small.substr(at + small_content.size());
+  const std::size_t at = line.find(small_content);
+  return line.substr(0, at) + base64(statement) + line.substr(at + small_content.size());
+}
+
+/// A request with a statement of the given size.
+inline std::string large_request_line(int id, std::uint64_t trace, std::size_t statement_bytes) {
+  return with_statement(RawClient::request_line(id, trace), statement_bytes);
 }
 
 /// The first bytes of a request that is larger.
--- a/tests/platform/jsonrpc_test.cpp
+++ b/tests/platform/jsonrpc_test.cpp
@@ -3,6 +3,7 @@
 
 #include "protocol/base64.hpp"
 #include "protocol/jsonrpc/calls.hpp"
+#include "protocol/jsonrpc/line_splitter.hpp"
 
 namespace paddlestand {
 namespace {
@@ -184,9 +185,12 @@
   }
   jsonrpc::LineSplitter lines(8);
   lines.feed("good\n");
-  for (int i = 0; i < 1000; ++i) lines.feed("endless ");
   EXPECT_EQ(lines.next(), "good");
   EXPECT_EQ(lines.next(), std::nullopt);
+  for (int i = 0; i < 1000; ++i) {
+    lines.feed("endless ");
+    EXPECT_EQ(lines.next(), std::nullopt);
+  }
   EXPECT_TRUE(lines.too_long());
 
   lines.feed("\nmore\n");
@@ -203,7 +207,8 @@
     EXPECT_EQ(lines.next(), std::nullopt);
     EXPECT_LE(lines.allocated_bytes(), max_bytes);
   }
-  lines.feed("\n" + std::string(64 * 1024, 'x'));
+  const std::string rest = "\n" + std::string(64 * 1024, 'x');
+  lines.feed(rest);
   EXPECT_TRUE(lines.next());
   EXPECT_EQ(lines.next(), std::nullopt);
   EXPECT_LE(lines.allocated_bytes(), max_bytes);
