A contested trace id is looked into in a turn of its own

Cause: to find out whether the client that has the id has left, its input was read, parsed and validated inside the validation of the first client's, and so on; the messages of all of them were held at once.

Change: validation only looks the id up; messages that name another client's id are postponed by a turn, in which that client is read. A connection that is rejected counts as ending before its open requests are given up, so that none of them is sent and nothing of it is read meanwhile.

--- a/src/platform/client.cpp
+++ b/src/platform/client.cpp
@@ -1,6 +1,7 @@
 #include "client.hpp"
 
 #include <algorithm>
+#include <boost/asio/post.hpp>
 #include <set>
 
 #include "client_registry.hpp"
@@ -52,6 +53,7 @@
   std::map<std::int64_t, core::SessionId> open;
   open.swap(open_requests_);
   pending_messages_.clear();
+  postponed_.reset();
   lines_.discard();
   release_slot();
   for (const auto& [id, session] : open) context_.requests.abandon(session);
@@ -137,7 +139,14 @@
 
 void Client::accept(MessageBatch batch) {
   last_used_ = host_.now();
-  if (!batch.problem()) resolve_contested(batch);
+  if (!batch.problem() && !batch.contested_traces().empty()) {
+    postpone(std::move(batch));
+  } else {
+    complete(std::move(batch));
+  }
+}
+
+void Client::complete(MessageBatch batch) {
   if (batch.problem()) {
     reject(batch.messages(), *batch.problem());
   } else {
@@ -145,15 +154,27 @@
   }
 }
 
-// Whether the trace ids are still in use is known only once the clients that used them have been read.
-void Client::resolve_contested(MessageBatch& batch) {
-  is_reading_ = true;  // other clients' input may lead back to this one
-  for (const std::uint64_t trace : batch.contested_traces()) {
+// Whether the trace ids are still in use is known only once the clients that used them have been read. They
+// are read in a turn of its own, since their input may in turn depend on other clients.
+void Client::postpone(MessageBatch batch) {
+  postponed_.emplace(std::move(batch));
+  asio::post(host_.io(), [self = shared_from_this()] { self->resume_postponed(); });
+}
+
+void Client::resume_postponed() {
+  if (!is_open()) postponed_.reset();
+  if (!postponed_) return;
+  for (const std::uint64_t trace : postponed_->contested_traces()) {
     const auto holder = context_.requests.client_of_trace(trace);
     if (holder != nullptr) holder->read_pending_input_beyond_limit();
   }
-  is_reading_ = false;
+  if (!is_open() || !postponed_) return;
+  MessageBatch batch = std::move(*postponed_);
+  postponed_.reset();
   batch.resolve_contested();
+  complete(std::move(batch));
+  process_pending_messages();
+  if (!is_closed()) wait_in_backlog();
 }
 
 void Client::enqueue(std::vector<jsonrpc::Message> messages) {
@@ -230,6 +251,8 @@
 // Writes one error for each request that is open or was just received, then ends the connection.
 void Client::reject(const std::vector<jsonrpc::Message>& messages, const jsonrpc::Problem& problem) {
   context_.registry.log_rejection(*this, problem);
+  phase_ = Phase::ending;
+  ending_since_ = host_.now();
   lines_.discard();
   partial_message_ = {};
   release_slot();
@@ -246,14 +269,17 @@
     put_error(id, jsonrpc::ErrorCode::failed, "connection closed: " + problem.text);
     context_.requests.abandon(session);
   }
-  for (const jsonrpc::Query& query : pending_messages_.extract_all())
-    put_error(query.id, jsonrpc::ErrorCode::rejected, "connection closed: " + problem.text);
-  for (const jsonrpc::Message& message : messages) {
-    if (const auto* query = std::get_if<jsonrpc::Query>(&message))
-      put_error(query->id, jsonrpc::ErrorCode::rejected, "connection closed: " + problem.text);
-  }
+  const auto put_errors = [&](const std::vector<jsonrpc::Message>& unprocessed) {
+    for (const jsonrpc::Message& message : unprocessed) {
+      if (const auto* query = std::get_if<jsonrpc::Query>(&message))
+        put_error(query->id, jsonrpc::ErrorCode::rejected, "connection closed: " + problem.text);
+    }
+  };
+  put_errors(pending_messages_.extract_all());
+  if (postponed_) put_errors(postponed_->take_messages());
+  postponed_.reset();
+  put_errors(messages);
   flush();
-  finish();
 }
 
 // ---- Output ----
--- a/src/platform/client.hpp
+++ b/src/platform/client.hpp
@@ -84,7 +84,7 @@
   [[nodiscard]] bool is_open() const { return phase_ == Phase::open; }
   /// Whether there are no open requests, no pending messages and no pending output.
   [[nodiscard]] bool is_idle() const {
-    return open_requests_.empty() && pending_messages_.is_empty() && output_.is_empty();
+    return open_requests_.empty() && pending_messages_.is_empty() && !postponed_ && output_.is_empty();
   }
   /// Whether this side was shut down and the client has not closed yet.
   [[nodiscard]] bool is_lingering() const { return phase_ == Phase::lingering; }
@@ -122,7 +122,7 @@
   enum class InputStatus : std::uint8_t {
     drained,
     more_available,
-    paused,  // waits for an input slot
+    paused,  // waits for an input slot, or for other clients to be read
     ended
   };
 
@@ -148,7 +148,9 @@
   void drop_input(std::size_t bytes);
   [[nodiscard]] ConnectionLoad load() const;
   void accept(MessageBatch batch);
-  void resolve_contested(MessageBatch& batch);
+  void complete(MessageBatch batch);
+  void postpone(MessageBatch batch);
+  void resume_postponed();
   void enqueue(std::vector<jsonrpc::Message> messages);
   void withdraw_pending(const jsonrpc::CancelRequest& cancellation);
   void process(PendingMessages::Entry entry);
@@ -175,6 +177,7 @@
   std::map<std::int64_t, core::SessionId> open_requests_;  // by request id; 32 at most
   std::int64_t last_id_ = 0;  // the highest request id used so far
   PendingMessages pending_messages_;
+  std::optional<MessageBatch> postponed_;  // to be completed before anything else is read
   OutputBuffer output_;
   std::size_t dropped_bytes_ = 0;  // received after the connection began to end
   TimePoint last_received_{};
@@ -192,7 +195,6 @@
   bool is_write_loop_running_ = false;
   bool is_read_loop_running_ = false;
   bool is_in_backlog_ = false;
-  bool is_reading_ = false;
   bool is_processing_messages_ = false;
 };
 
--- a/src/platform/client_input.cpp
+++ b/src/platform/client_input.cpp
@@ -69,13 +69,13 @@
 }
 
 void Client::read_pending_input() {
-  if (is_closed() || is_reading_ || paused_since_) return;
+  if (is_closed() || postponed_ || paused_since_) return;
   const auto self = shared_from_this();
   read_input();
 }
 
 void Client::read_pending_input_beyond_limit() {
-  if (is_closed() || is_reading_) return;
+  if (is_closed() || postponed_) return;
   if (is_open() && !slot_) {
     context_.registry.input_budget().acquire_beyond_limit(input_priority());
     resume_reading(input_priority());
@@ -149,6 +149,7 @@
 // Reads all available input, up to a limit, before processing any of it, so that no work starts for a client
 // that sends a lot and disconnects, or that sends an invalid message right after valid ones.
 Client::InputStatus Client::read_input() {
+  if (postponed_) return InputStatus::paused;  // resume_postponed() continues
   const TimePoint began = host_.now();
   const std::size_t limit = readable_bytes();
   if (limit == 0) {
@@ -156,9 +157,7 @@
     return paused_since_ ? InputStatus::paused : InputStatus::more_available;
   }
   ReadProgress progress{.bytes_left = limit, .ends_at = began + max_read_time};
-  is_reading_ = true;
   const IoResult last = receive_available(progress);
-  is_reading_ = false;
   if (is_closed()) return InputStatus::ended;
   last_receive_ = last.status;
   if (last.status == IoStatus::end_of_input || last.status == IoStatus::ended) {
--- a/src/platform/message_batch.cpp
+++ b/src/platform/message_batch.cpp
@@ -86,12 +86,11 @@
   return cancelled;
 }
 
-std::vector<jsonrpc::Query> PendingMessages::extract_all() {
-  std::vector<jsonrpc::Query> queries;
-  for (Entry& entry : entries_)
-    if (auto* query = std::get_if<jsonrpc::Query>(&entry.message)) queries.push_back(std::move(*query));
+std::vector<jsonrpc::Message> PendingMessages::extract_all() {
+  std::vector<jsonrpc::Message> messages;
+  for (Entry& entry : entries_) messages.push_back(std::move(entry.message));
   entries_.clear();
-  return queries;
+  return messages;
 }
 
 void PendingMessages::add_to(ConnectionLoad& load) const {
--- a/src/platform/message_batch.hpp
+++ b/src/platform/message_batch.hpp
@@ -79,8 +79,8 @@
   std::optional<Entry> pop();
   /// Removes and returns the queries that a later message cancels.
   std::vector<jsonrpc::Query> extract(const jsonrpc::CancelRequest& cancellation);
-  /// Removes and returns all queries; other messages are dropped.
-  std::vector<jsonrpc::Query> extract_all();
+  /// Removes and returns all messages.
+  std::vector<jsonrpc::Message> extract_all();
   void clear() { entries_.clear(); }
 
   [[nodiscard]] bool is_empty() const { return entries_.empty(); }
