Clients' input is counted by bytes, and reading waits for nothing

Cause, one for all: memory was granted in slots of 96 KiB, whatever a client held. Half messages used them up, a connection without one was not read beyond 2 KB, so whole requests waited in no table and no order; and where a client had to be read before its request was sent, a slot was taken that was not there.

Change: each client is charged with the bytes allocated for its input (InputAccount), and nothing goes past the limit. Input is read into a shared buffer, and a line that ends there needs no memory, so every whole message is read at once. Beyond the limit half messages are refused at once (input_eviction): the stalled ones first, slow but steady ones last; open requests of such a client are still answered. Messages that wait are charged, too. Before a request is sent, its client is read until nothing is left. A 16th of the statements' memory is kept for small statements, since many large ones that end at once took all of it.

--- a/src/core/connection_policy.hpp
+++ b/src/core/connection_policy.hpp
@@ -48,8 +48,8 @@
   bool client_present = false;  ///< the connection is open, and the request was not cancelled
   Duration since_client_was_read{};  ///< since its connection was last read until it would block
   Duration time_left{};  ///< until the client timeout ends
-  /// The connection was read for this decision, but perhaps not until it would block, since the client may
-  /// keep sending.
+  /// The connection was read for this decision until it would block, or as far as a failing system call
+  /// allowed.
   bool just_read = false;
 };
 
--- a/src/platform/client.cpp
+++ b/src/platform/client.cpp
@@ -36,7 +36,8 @@
       last_received_(host_.now()),
       last_used_(last_received_),
       last_write_progress_(last_received_),
-      input_times_(accept_delay) {}
+      input_times_(accept_delay),
+      charge_(context.registry.input_account()) {}
 
 void Client::start() {
   is_read_loop_running_ = true;
@@ -55,7 +56,7 @@
   pending_messages_.clear();
   postponed_.reset();
   lines_.discard();
-  release_slot();
+  update_charge();
   for (const auto& [id, session] : open) context_.requests.abandon(session);
   context_.registry.remove(*this);
 }
@@ -79,7 +80,7 @@
 void Client::finish_if_idle() {
   auto result = service::GuardedShutdown::outdated;
   while (result == service::GuardedShutdown::outdated) {
-    if (!is_open() || paused_since_) return;
+    if (!is_open()) return;
     const service::ResumeCount facts_as_of = service::ResumeMonitor::count();
     if (may_have_input()) read_pending_input();
     if (!is_open() || core::may_close(close_facts()) != core::CloseDecision::close) return;
@@ -113,8 +114,8 @@
     close("client does not read its answers");
     return;
   }
-  if (!is_open() || paused_since_) return;
-  if (partial_message_.is_overdue(now)) read_pending_input();  // the missing bytes may have arrived unread
+  if (!is_open() || in_backlog_since_) return;
+  if (partial_message_.is_overdue(now)) read_until_drained();  // the missing bytes may have arrived unread
   if (!is_open()) return;
   if (partial_message_.is_overdue(now)) {
     reject({}, {std::nullopt, jsonrpc::ErrorCode::parse_error, "incomplete message: timed out"});
@@ -147,17 +148,29 @@
 }
 
 void Client::complete(MessageBatch batch) {
+  const bool has_to_wait = is_processing_messages_;
   if (batch.problem()) {
     reject(batch.messages(), *batch.problem());
+  } else if (has_to_wait && !context_.registry.input_account().has_room_for(batch.allocated_bytes())) {
+    reject(batch.messages(), memory_problem());
   } else {
     enqueue(batch.take_messages());
   }
 }
 
+jsonrpc::Problem Client::memory_problem() {
+  return {std::nullopt, jsonrpc::ErrorCode::rejected, "too much input of all clients"};
+}
+
 // Whether the trace ids are still in use is known only once the clients that used them have been read. They
 // are read in a turn of its own, since their input may in turn depend on other clients.
 void Client::postpone(MessageBatch batch) {
+  if (!context_.registry.input_account().has_room_for(batch.allocated_bytes())) {
+    reject(batch.messages(), memory_problem());
+    return;
+  }
   postponed_.emplace(std::move(batch));
+  update_charge();
   asio::post(host_.io(), [self = shared_from_this()] { self->resume_postponed(); });
 }
 
@@ -166,11 +179,12 @@
   if (!postponed_) return;
   for (const std::uint64_t trace : postponed_->contested_traces()) {
     const auto holder = context_.requests.client_of_trace(trace);
-    if (holder != nullptr) holder->read_pending_input_beyond_limit();
+    if (holder != nullptr) holder->read_until_drained();
   }
   if (!is_open() || !postponed_) return;
   MessageBatch batch = std::move(*postponed_);
   postponed_.reset();
+  update_charge();
   batch.resolve_contested();
   complete(std::move(batch));
   process_pending_messages();
@@ -189,6 +203,7 @@
       pending_messages_.push(std::move(message), input_times_.arrived());
     }
   }
+  if (is_processing_messages_) update_charge();
 }
 
 void Client::withdraw_pending(const jsonrpc::CancelRequest& cancellation) {
@@ -211,10 +226,12 @@
 
 // A shortage of memory is no fault of the client: its connection and its other requests go on.
 void Client::process(jsonrpc::Query query, TimePoint received) {
+  if (ends_when_answered_) {
+    refuse(query, "the connection ends: an incomplete message was refused");
+    return;
+  }
   if (!context_.requests.has_capacity_for(query.statement.size(), !open_requests_.empty())) {
-    jsonrpc::put_error(output_.text(), query.id, jsonrpc::ErrorCode::rejected,
-                       "too many bytes in statements of open requests");
-    output_.append_finished(LineKind::answer);
+    refuse(query, "too many bytes in statements of open requests");
     return;
   }
   const core::SessionId session = context_.requests.next_session();
@@ -222,6 +239,16 @@
   context_.requests.submit(shared_from_this(), session, std::move(query), received);
 }
 
+void Client::refuse(const jsonrpc::Query& query, std::string_view reason) {
+  jsonrpc::put_error(output_.text(), query.id, jsonrpc::ErrorCode::rejected, reason);
+  output_.append_finished(LineKind::answer);
+}
+
+void Client::put_notice(const jsonrpc::Problem& problem) {
+  jsonrpc::put_error(output_.text(), problem.id, problem.code, problem.text);
+  output_.append_finished(LineKind::notice);
+}
+
 void Client::process(const jsonrpc::CancelRequest& cancellation) {
   // Abandoning a request may cause others to be answered immediately, which changes open_requests_, so the
   // cancelled requests are removed first.
@@ -255,7 +282,6 @@
   ending_since_ = host_.now();
   lines_.discard();
   partial_message_ = {};
-  release_slot();
   std::map<std::int64_t, core::SessionId> open;
   open.swap(open_requests_);
   std::set<std::int64_t> answered;
@@ -279,6 +305,7 @@
   if (postponed_) put_errors(postponed_->take_messages());
   postponed_.reset();
   put_errors(messages);
+  update_charge();
   flush();
 }
 
@@ -315,6 +342,7 @@
   const IoStatus status = write_pending();
   if (is_closed()) return;
   if (status == IoStatus::progress) {
+    if (ends_when_answered_ && is_open() && is_idle()) phase_ = Phase::ending;
     if (phase_ == Phase::ending) linger();
     return;
   }
--- a/src/platform/client.hpp
+++ b/src/platform/client.hpp
@@ -13,7 +13,8 @@
 
 #include "core/connection_policy.hpp"
 #include "core/types.hpp"
-#include "input_budget.hpp"
+#include "input_account.hpp"
+#include "input_eviction.hpp"
 #include "input_times.hpp"
 #include "message_batch.hpp"
 #include "output_buffer.hpp"
@@ -60,19 +61,19 @@
   /// Like finish(), but only if the connection is idle: no request is open and no input is unread. Reads
   /// available input first.
   void finish_if_idle();
-  /// Reads and processes a bounded amount of available input, so that no work starts for a client that has
-  /// disconnected and no connection is closed with an unread request. If called while one of the client's
-  /// messages is being processed, its disconnection and its cancellations take effect immediately, other
-  /// messages after the current one. Does nothing while the connection waits for an input slot.
+  /// Reads and processes a bounded amount of available input, so that no connection is closed with an unread
+  /// request. If called while one of the client's messages is being processed, its disconnection and its
+  /// cancellations take effect immediately, other messages after the current one.
   void read_pending_input();
-  /// Like read_pending_input(), but reads the connection even if no input slot is available. For decisions
-  /// that must not be made without knowing whether the client has left.
-  void read_pending_input_beyond_limit();
-  /// If the connection waits for an input slot, reads it all the same, and turns the client away if its
-  /// message is incomplete: the process is about to exit.
-  void finish_waiting_input();
-  /// Goes on reading, with the input slot that the connection has waited for.
-  void resume_reading(InputBudget::Priority slot);
+  /// Like read_pending_input(), but until no input is left, for decisions that must not be made without
+  /// knowing whether the client has left. A client that has more unread than any sound client is turned away.
+  void read_until_drained();
+  /// If there is unread input, reads it all, and turns the client away if its message is incomplete: the
+  /// process is about to exit.
+  void finish_unread_input();
+  /// Refuses the incomplete message and releases its memory. The open requests still get their answers, then
+  /// the connection is ended.
+  void refuse_partial_message();
   /// Answers every open request as failed, reports the reason, and ends the connection gracefully.
   void turn_away(const std::string& reason);
   /// Ends the connection if one of its time limits has passed.
@@ -99,12 +100,12 @@
   [[nodiscard]] std::size_t unwritten_bytes() const { return output_.size(); }
   /// Whether a request is open, or an answer is not completely written.
   [[nodiscard]] bool is_owed_answers() const { return !is_idle(); }
-  /// Whether it holds an input slot and has not sent anything since `limit` before `now`.
-  [[nodiscard]] bool is_stalled(TimePoint now, Duration limit) const {
-    return slot_ && partial_message_.exists() && now - last_received_ >= limit;
-  }
   /// Whether a message was received in part.
   [[nodiscard]] bool has_partial_message() const { return partial_message_.exists(); }
+  /// The message that was received in part.
+  [[nodiscard]] HeldMessage held_message(TimePoint now) const;
+  /// Whether the end of a line was received but not read.
+  [[nodiscard]] bool has_unread_line_end();
   /// When input was last received.
   [[nodiscard]] TimePoint last_received() const { return last_received_; }
   /// When the client last read output, or output was first held for it.
@@ -122,30 +123,29 @@
   enum class InputStatus : std::uint8_t {
     drained,
     more_available,
-    paused,  // waits for an input slot, or for other clients to be read
+    paused,  // waits for other clients to be read
     ended
   };
 
   // Input.
   struct ReadProgress {
-    std::size_t bytes_left;  // until the limit of one read
     TimePoint ends_at;
+    std::size_t bytes = 0;
     std::optional<MessageBatch> batch{};  // the messages completed so far, if there are any
   };
+  struct ReceivedTotals {
+    std::uint64_t bytes = 0;
+    std::uint64_t messages = 0;
+  };
   boost::asio::awaitable<void> read_loop();
   void wait_in_backlog();
   InputStatus read_input();
   service::IoResult receive_available(ReadProgress& progress);
   bool take_lines(std::string_view bytes, std::optional<MessageBatch>& batch);
-  [[nodiscard]] std::size_t readable_bytes();
-  [[nodiscard]] InputBudget::Priority input_priority() const;
-  void pause_reading();
-  void end_pause();
-  void release_slot();
-  void release_slot_if_unused();
-  void accept_received(std::optional<MessageBatch> batch);
   void process_pending_messages();
   void drop_input(std::size_t bytes);
+  void update_charge();
+  void finish_refusal();
   [[nodiscard]] ConnectionLoad load() const;
   void accept(MessageBatch batch);
   void complete(MessageBatch batch);
@@ -157,6 +157,9 @@
   void process(jsonrpc::Query query, TimePoint received);
   void process(const jsonrpc::CancelRequest& cancellation);
   void process(const jsonrpc::HealthCheck& health_check);
+  void refuse(const jsonrpc::Query& query, std::string_view reason);
+  void put_notice(const jsonrpc::Problem& problem);
+  static jsonrpc::Problem memory_problem();
   void reject(const std::vector<jsonrpc::Message>& messages, const jsonrpc::Problem& problem);
 
   // Output.
@@ -186,15 +189,15 @@
   TimePoint ending_since_{};
   InputTimes input_times_;
   PartialMessage partial_message_;
-  std::optional<InputBudget::Priority>
-      slot_;  // the input slot it holds, by the priority it was acquired with
-  std::optional<TimePoint> paused_since_;  // while it waits for an input slot
+  InputCharge charge_;  // for lines_, pending_messages_ and postponed_
+  ReceivedTotals received_;
+  std::optional<TimePoint> in_backlog_since_;  // while it waits to be read on
   Phase phase_ = Phase::open;
   service::IoStatus last_receive_ = service::IoStatus::would_block;
   bool has_sent_message_ = false;
   bool is_write_loop_running_ = false;
   bool is_read_loop_running_ = false;
-  bool is_in_backlog_ = false;
+  bool ends_when_answered_ = false;  // an incomplete message was refused, so no further request is accepted
   bool is_processing_messages_ = false;
 };
 
--- a/src/platform/client_input.cpp
+++ b/src/platform/client_input.cpp
@@ -1,4 +1,4 @@
-// Client: reading its input, and the input slots that bound the memory of incomplete messages.
+// Client: reading its input, and the memory that incomplete messages and those that wait take.
 #include <algorithm>
 #include <boost/asio/post.hpp>
 
@@ -13,10 +13,12 @@
 
 namespace {
 
-constexpr std::size_t max_bytes_without_slot = std::size_t{2} * 1024;
 constexpr std::size_t max_bytes_per_read = std::size_t{64} * 1024;  // per client and turn of the event loop
 constexpr std::size_t max_bytes_per_call = std::size_t{16} * 1024;
 constexpr Duration max_read_time = std::chrono::milliseconds(1);  // per client and turn of the event loop
+// What a client with 32 open requests may have unread, and a number of other messages.
+constexpr std::size_t max_unread_bytes = 33 * max_message_bytes;
+constexpr std::size_t max_unread_messages = 1024;
 constexpr std::size_t max_dropped_bytes =
     std::size_t{256} * 1024;  // received after the connection began to end
 
@@ -50,15 +52,16 @@
 }
 
 void Client::wait_in_backlog() {
-  if (is_in_backlog_) return;
-  is_in_backlog_ = true;
-  input_times_.record_pause(host_.now(), Duration{});
+  if (in_backlog_since_) return;
+  in_backlog_since_ = host_.now();
+  input_times_.record_pause(*in_backlog_since_, Duration{});
   context_.registry.add_to_backlog(shared_from_this());
 }
 
 void Client::read_from_backlog() {
-  is_in_backlog_ = false;
   if (is_closed()) return;
+  partial_message_.record_pause(*in_backlog_since_, host_.now());
+  in_backlog_since_.reset();
   const InputStatus status = read_input();
   if (is_closed() || status == InputStatus::paused) return;
   if (status == InputStatus::more_available) {
@@ -69,94 +72,36 @@
 }
 
 void Client::read_pending_input() {
-  if (is_closed() || postponed_ || paused_since_) return;
+  if (is_closed()) return;
   const auto self = shared_from_this();
   read_input();
 }
 
-void Client::read_pending_input_beyond_limit() {
-  if (is_closed() || postponed_) return;
-  if (is_open() && !slot_) {
-    context_.registry.input_budget().acquire_beyond_limit(input_priority());
-    resume_reading(input_priority());
-  }
-  read_pending_input();
-}
-
-// ---- Input slots ----
-
-InputBudget::Priority Client::input_priority() const {
-  if (is_owed_answers()) return InputBudget::Priority::has_open_requests;
-  return has_sent_message_ ? InputBudget::Priority::known : InputBudget::Priority::unknown;
-}
-
-// How many bytes may be read now. Input that is dropped requires no memory.
-std::size_t Client::readable_bytes() {
-  if (!is_open() || slot_) return max_bytes_per_read;
-  const InputBudget::Priority priority = input_priority();
-  if (!paused_since_ && context_.registry.input_budget().try_acquire(priority)) {
-    slot_ = priority;
-    return max_bytes_per_read;
+void Client::read_until_drained() {
+  const auto self = shared_from_this();
+  const ReceivedTotals before = received_;
+  while (!is_closed() && read_input() == InputStatus::more_available) {
+    if (received_.bytes - before.bytes < max_unread_bytes &&
+        received_.messages - before.messages < max_unread_messages) {
+      continue;
+    }
+    turn_away("too much unread input");
+    return;
   }
-  return max_bytes_without_slot - std::min(max_bytes_without_slot, lines_.buffered_bytes());
-}
-
-void Client::pause_reading() {
-  if (paused_since_) return;
-  paused_since_ = host_.now();
-  input_times_.record_pause(*paused_since_, host_.event_loop_lag());
-  context_.registry.wait_for_slot(*this, input_priority());
-}
-
-void Client::end_pause() {
-  if (!paused_since_) return;
-  context_.registry.input_budget().remove(number_);
-  const TimePoint now = host_.now();
-  partial_message_.record_pause(*paused_since_, now);
-  last_received_ = now;
-  paused_since_.reset();
 }
 
-// Reads on while the message is incomplete and more input is available. Ends at the limit of a message at the
-// latest.
-void Client::finish_waiting_input() {
-  if (!paused_since_) return;
-  const auto self = shared_from_this();
-  do { read_pending_input_beyond_limit(); } while (is_open() && slot_ && last_receive_ == IoStatus::progress);
+void Client::finish_unread_input() {
+  if (!in_backlog_since_) return;
+  read_until_drained();
   if (partial_message_.exists()) turn_away("the workload manager is shutting down");
 }
 
-void Client::resume_reading(InputBudget::Priority slot) {
-  end_pause();
-  slot_ = slot;
-  if (is_read_loop_running_) return;
-  is_read_loop_running_ = true;
-  asio::post(host_.io(), [self = shared_from_this()] { self->start(); });
-}
-
-void Client::release_slot() {
-  end_pause();
-  if (!slot_) return;
-  context_.registry.input_budget().release(*slot_);
-  slot_.reset();
-  context_.registry.grant_slots();
-}
-
-void Client::release_slot_if_unused() {
-  if (slot_ && lines_.buffered_bytes() <= max_bytes_without_slot) release_slot();
-}
-
 // Reads all available input, up to a limit, before processing any of it, so that no work starts for a client
 // that sends a lot and disconnects, or that sends an invalid message right after valid ones.
 Client::InputStatus Client::read_input() {
   if (postponed_) return InputStatus::paused;  // resume_postponed() continues
   const TimePoint began = host_.now();
-  const std::size_t limit = readable_bytes();
-  if (limit == 0) {
-    pause_reading();
-    return paused_since_ ? InputStatus::paused : InputStatus::more_available;
-  }
-  ReadProgress progress{.bytes_left = limit, .ends_at = began + max_read_time};
+  ReadProgress progress{.ends_at = began + max_read_time};
   const IoResult last = receive_available(progress);
   if (is_closed()) return InputStatus::ended;
   last_receive_ = last.status;
@@ -166,13 +111,8 @@
     return InputStatus::ended;
   }
   input_times_.record_read(read_outcome_of(last.status), began, host_.now(), host_.event_loop_lag());
-  if (progress.bytes_left == limit) {
-    release_slot_if_unused();
-    return InputStatus::drained;
-  }
-  last_received_ = host_.now();
-  if (is_open()) accept_received(std::move(progress.batch));
-  release_slot_if_unused();
+  if (progress.bytes == 0) return InputStatus::drained;
+  if (is_open() && progress.batch) accept(std::move(*progress.batch));
   process_pending_messages();
   if (is_closed()) return InputStatus::ended;
   return last.status == IoStatus::progress ? InputStatus::more_available : InputStatus::drained;
@@ -181,32 +121,88 @@
 IoResult Client::receive_available(ReadProgress& progress) {
   IoResult last;
   do {
-    const auto scratch = host_.scratch().first(std::min(progress.bytes_left, max_bytes_per_call));
+    const auto scratch = host_.scratch().first(max_bytes_per_call);
     last = socket_.receive(scratch);
     if (last.status != IoStatus::progress) break;
-    progress.bytes_left -= last.bytes;
+    progress.bytes += last.bytes;
+    received_.bytes += last.bytes;
+    last_received_ = host_.now();
     if (!is_open()) {
       drop_input(last.bytes);
     } else if (!take_lines({scratch.data(), last.bytes}, progress.batch)) {
       break;
     }
-  } while (progress.bytes_left > 0 && !is_closed() && host_.now() < progress.ends_at);
+  } while (progress.bytes < max_bytes_per_read && !is_closed() && last_received_ < progress.ends_at);
   return last;
 }
 
 // Parses no line after the first invalid message. Returns whether all messages are valid.
 bool Client::take_lines(std::string_view bytes, std::optional<MessageBatch>& batch) {
+  const auto add = [&](jsonrpc::Message message) {
+    if (!batch) batch.emplace(context_.requests, *this, load());
+    ++received_.messages;
+    return batch->add(std::move(message));
+  };
+  const std::uint64_t messages_before = received_.messages;
   lines_.feed(bytes);
   while (const auto line = lines_.next()) {
-    if (!batch) batch.emplace(context_.requests, *this, load());
-    if (batch->add(context_.calls.read(*line))) continue;
+    if (add(context_.calls.read(*line))) continue;
     lines_.discard();
     return false;
   }
-  if (!lines_.too_long()) return true;
-  if (!batch) batch.emplace(context_.requests, *this, load());
-  return batch->add(
-      jsonrpc::Problem{std::nullopt, jsonrpc::ErrorCode::invalid_request, "message is too long"});
+  if (lines_.too_long()) {
+    return add(jsonrpc::Problem{std::nullopt, jsonrpc::ErrorCode::invalid_request, "message is too long"});
+  }
+  partial_message_.record_input(lines_.buffered_bytes(), received_.messages > messages_before,
+                                last_received_);
+  update_charge();
+  context_.registry.make_room_for_input();
+  return true;
+}
+
+// ---- Memory ----
+
+void Client::update_charge() {
+  const std::size_t postponed_bytes = postponed_ ? postponed_->allocated_bytes() : 0;
+  charge_.set(lines_.allocated_bytes() + pending_messages_.allocated_bytes() + postponed_bytes);
+}
+
+HeldMessage Client::held_message(TimePoint now) const {
+  return {.bytes = lines_.allocated_bytes(),
+          .bytes_per_second = partial_message_.bytes_per_second(now),
+          .silence = now - last_received_,
+          .is_from_known_client = has_sent_message_};
+}
+
+// Uses a part of the shared buffer that reads do not use, since it may be called during one.
+bool Client::has_unread_line_end() {
+  const std::span<char> bytes = host_.scratch().subspan(max_bytes_per_call, max_message_bytes);
+  const IoResult unread = socket_.peek(bytes);
+  return unread.status == IoStatus::progress &&
+         std::string_view(bytes.data(), unread.bytes).find('\n') != std::string_view::npos;
+}
+
+// Its memory is released at once. The client is told in a turn of its own, since that may lead to any action
+// of the core, and this may be called while another client is read.
+void Client::refuse_partial_message() {
+  lines_.skip_line();
+  partial_message_ = {};
+  update_charge();
+  asio::post(host_.io(), [self = shared_from_this()] { self->finish_refusal(); });
+}
+
+void Client::finish_refusal() {
+  if (!is_open() || ends_when_answered_) return;
+  const jsonrpc::Problem problem{std::nullopt, jsonrpc::ErrorCode::rejected,
+                                 "incomplete message refused: too much input of all clients"};
+  if (!is_owed_answers()) {
+    reject({}, problem);
+    return;
+  }
+  context_.registry.log_rejection(*this, problem);
+  ends_when_answered_ = true;
+  put_notice(problem);
+  flush();
 }
 
 void Client::drop_input(std::size_t bytes) {
@@ -215,11 +211,6 @@
   if (dropped_bytes_ > max_dropped_bytes) close("client keeps writing after the end of its connection");
 }
 
-void Client::accept_received(std::optional<MessageBatch> batch) {
-  partial_message_.record_input(lines_.has_partial_line(), batch.has_value(), last_received_);
-  if (batch) accept(std::move(*batch));
-}
-
 // Not re-entered: input that is read while a message is being processed is left to the running loop.
 void Client::process_pending_messages() {
   if (is_processing_messages_ || pending_messages_.is_empty()) return;
@@ -230,6 +221,7 @@
     process(std::move(*next));
   }
   is_processing_messages_ = false;
+  update_charge();
   flush();
 }
 
--- a/src/platform/client_registry.cpp
+++ b/src/platform/client_registry.cpp
@@ -15,6 +15,7 @@
 constexpr auto backlog_log_period = std::chrono::milliseconds(100);
 constexpr auto sending_pause = std::chrono::seconds(1);  // between the bytes of a message
 constexpr auto non_reader_timeout = std::chrono::seconds(1);
+constexpr std::ptrdiff_t max_looked_at = 8;  // incomplete messages
 constexpr Duration max_backlog_time = std::chrono::milliseconds(2);  // per turn of the event loop
 
 /// Sort key of eviction: lingering connections first, then those without a message yet, then the least
@@ -28,11 +29,6 @@
   return client.has_partial_message() && now - client.last_received() < sending_pause;
 }
 
-/// Sort key of the clients to turn away because they have stopped sending.
-auto stalled_order(const Client& client) {
-  return std::tuple(client.has_sent_message(), client.last_received());
-}
-
 }  // namespace
 
 ClientRegistry::ClientRegistry(PlatformHost& host, RequestHandler& requests, const jsonrpc::CallReader& calls,
@@ -40,7 +36,7 @@
     : host_(host),
       context_{host, requests, *this, calls, lifecycle},
       limits_(limits),
-      input_budget_(limits.max_input_bytes, max_message_bytes) {}
+      input_account_(limits.max_input_bytes) {}
 
 void ClientRegistry::accept(tcp::socket socket, Duration accept_delay) {
   if (clients_.size() >= limits_.max_clients && !make_room()) return;  // destroys, and so closes, the socket
@@ -92,31 +88,40 @@
 void ClientRegistry::sweep(TimePoint now) {
   const Clients clients = all();
   for (const auto& client : clients) client->check_timeouts(now);
-  turn_away_stalled(clients, now);
   close_non_readers(now);
 }
 
-// Of the clients that hold an input slot and have stopped sending, those are turned away that have never sent
-// a valid message, and that are silent for longest.
-void ClientRegistry::turn_away_stalled(Clients clients, TimePoint now) {
-  const std::size_t queued = input_budget_.queued();
-  if (queued == 0) return;
-  const Duration limit = input_budget_.stall_limit(now);
-  const auto is_stalled = [&](const auto& client) {
-    return client->is_open() && !client->is_owed_answers() && client->is_stalled(now, limit);
-  };
-  std::erase_if(clients, [&](const auto& client) { return !is_stalled(client); });
-  std::sort(clients.begin(), clients.end(),
-            [](const auto& a, const auto& b) { return stalled_order(*a) < stalled_order(*b); });
-  if (clients.size() > queued) clients.resize(queued);
-  for (const auto& client : clients) {
-    client->read_pending_input();  // the missing bytes may have arrived unread
-    if (!is_stalled(client)) continue;
-    log_backlog(*client, client->buffered_bytes(), "incomplete message: client turned away");
-    client->turn_away("incomplete message: timed out while others wait for memory");
+void ClientRegistry::make_room_for_input() {
+  while (input_account_.excess() > 0) {
+    const std::shared_ptr<Client> client = next_to_refuse();
+    if (client == nullptr) return;
+    log_backlog(*client, client->buffered_bytes(), "incomplete message refused");
+    client->refuse_partial_message();
   }
 }
 
+// A message whose end has arrived but was not read yet is complete for its sender, so others are refused
+// before it. Only a few connections are looked at, since each look costs a system call.
+std::shared_ptr<Client> ClientRegistry::next_to_refuse() const {
+  struct Candidate {
+    HeldMessage message;
+    std::shared_ptr<Client> client;
+  };
+  const TimePoint now = host_.now();
+  std::vector<Candidate> candidates;
+  for (const auto& [number, client] : clients_)
+    if (client->has_partial_message()) candidates.push_back({client->held_message(now), client});
+  const auto end = candidates.begin() + std::min<std::ptrdiff_t>(max_looked_at, std::ssize(candidates));
+  std::partial_sort(candidates.begin(), end, candidates.end(), [](const Candidate& a, const Candidate& b) {
+    return is_refused_before(a.message, b.message);
+  });
+  const auto found = std::find_if(candidates.begin(), end, [](const Candidate& candidate) {
+    return !candidate.client->has_unread_line_end();
+  });
+  if (found != end) return found->client;
+  return candidates.empty() ? nullptr : candidates.front().client;
+}
+
 // Beyond the limit, results are replaced by short errors (Client::answer). Only if that is not enough,
 // answers are cut off, for clients that have read nothing for a while.
 void ClientRegistry::close_non_readers(TimePoint now) {
@@ -139,34 +144,17 @@
   }
 }
 
-void ClientRegistry::wait_for_slot(const Client& client, InputBudget::Priority priority) {
-  input_budget_.enqueue(client.number(), priority, host_.now());
-  grant_slots();
-}
-
-void ClientRegistry::grant_slots() {
-  for (const InputBudget::Grant& grant : input_budget_.grant_available()) {
-    const auto found = clients_.find(grant.client);
-    if (found == clients_.end()) {
-      input_budget_.release(grant.priority);
-    } else {
-      found->second->resume_reading(grant.priority);
-    }
-  }
-}
-
 void ClientRegistry::log_backlog(const Client& client, std::size_t bytes, std::string_view text) {
   if (host_.now() < backlog_logged_at_ + backlog_log_period) return;
   backlog_logged_at_ = host_.now();
-  host_.log().warn(observe::LogEvent::backlog_exceeded,
-                   {{Field::client, client.number()},
-                    {Field::bytes, bytes},
-                    {Field::waiting_clients, input_budget_.queued()}},
-                   text);
+  host_.log().warn(
+      observe::LogEvent::backlog_exceeded,
+      {{Field::client, client.number()}, {Field::bytes, bytes}, {Field::waiting_clients, backlog_.size()}},
+      text);
 }
 
-void ClientRegistry::finish_waiting_input() {
-  for (const auto& client : all()) client->finish_waiting_input();
+void ClientRegistry::finish_unread_input() {
+  for (const auto& client : all()) client->finish_unread_input();
 }
 
 void ClientRegistry::finish_idle() {
--- a/src/platform/client_registry.hpp
+++ b/src/platform/client_registry.hpp
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "client.hpp"
-#include "input_budget.hpp"
+#include "input_account.hpp"
 #include "resource_limits.hpp"
 
 namespace paddlestand::platform {
@@ -25,13 +25,12 @@
   /// Starts a connection that may have waited for `accept_delay` to be accepted. At the limit, an idle
   /// connection is closed to make room; if there is none, the new connection is closed unread.
   void accept(tcp::socket socket, Duration accept_delay);
-  /// Ends the connections whose time limits have passed. While clients wait for an input slot, turns away
-  /// those that hold one and do not send. Closes clients that do not read if unwritten answers exceed twice
-  /// their limit.
+  /// Ends the connections whose time limits have passed. Closes clients that do not read if unwritten answers
+  /// exceed twice their limit.
   void sweep(TimePoint now);
-  /// Reads the connections that wait for an input slot, one after the other. Turns those away whose message
-  /// is incomplete. For the end of the process, when no slot can be waited for.
-  void finish_waiting_input();
+  /// Reads all unread input of the connections that wait to be read on, and turns those away whose message is
+  /// incomplete. For the end of the process, when nothing can be waited for.
+  void finish_unread_input();
   /// Closes all idle connections gracefully.
   void finish_idle();
   /// Closes all connections immediately, before the process exits.
@@ -46,15 +45,13 @@
   // ---- For connections ----
 
   void remove(const Client& client) { clients_.erase(client.number()); }
-  [[nodiscard]] InputBudget& input_budget() { return input_budget_; }
+  [[nodiscard]] InputAccount& input_account() { return input_account_; }
+  /// Refuses incomplete messages until the memory of clients' input is within its limit.
+  void make_room_for_input();
   /// Whether one more line of this size may be held for a client that has not read its earlier ones.
   [[nodiscard]] bool has_capacity_for_output(std::size_t bytes) const {
     return unwritten_bytes() + bytes <= limits_.max_unwritten_bytes;
   }
-  /// Adds a connection to the queue for an input slot.
-  void wait_for_slot(const Client& client, InputBudget::Priority priority);
-  /// Gives available input slots to the connections that wait for one.
-  void grant_slots();
   /// Lets a connection read on after those that already wait. All of them share a bounded time in each turn
   /// of the event loop, so that connections with little input do not wait for them.
   void add_to_backlog(std::shared_ptr<Client> client);
@@ -70,7 +67,7 @@
   void read_backlog();
   bool make_room();
   [[nodiscard]] std::shared_ptr<Client> best_to_evict(const std::shared_ptr<Client>& excluded) const;
-  void turn_away_stalled(Clients clients, TimePoint now);
+  [[nodiscard]] std::shared_ptr<Client> next_to_refuse() const;
   void close_non_readers(TimePoint now);
   void log_backlog(const Client& client, std::size_t bytes, std::string_view text);
   [[nodiscard]] Clients all() const;
@@ -78,7 +75,7 @@
   PlatformHost& host_;
   ClientContext context_;
   ResourceLimits limits_;
-  InputBudget input_budget_;
+  InputAccount input_account_;
   std::map<std::uint64_t, std::shared_ptr<Client>> clients_;  // by number, in order of arrival
   std::deque<std::shared_ptr<Client>> backlog_;  // those with more input than one read takes
   std::uint64_t last_number_ = 0;
--- a/src/platform/graceful_shutdown.cpp
+++ b/src/platform/graceful_shutdown.cpp
@@ -60,7 +60,7 @@
             [this] { service::spawn(host_.io(), end_idle_connections_often()); });
   run_after(stop_timer_, until_kill - std::min(exit_margin, until_kill / 8), [this] {
     host_.dispatch(core::TimerExpired{});  // the last answers may be due only now if the process was stopped
-    clients_.finish_waiting_input();
+    clients_.finish_unread_input();
     end_idle_connections();
     host_.stop();
   });
@@ -88,7 +88,7 @@
 // the same turn, so that no request is open at SIGKILL.
 asio::awaitable<void> GracefulShutdown::end_idle_connections_often() {
   while (!host_.is_stopped()) {
-    clients_.finish_waiting_input();
+    clients_.finish_unread_input();
     end_idle_connections();
     co_await service::pause_for(host_.io(), frequent_sweep_period);
   }
--- a/src/platform/message_batch.cpp
+++ b/src/platform/message_batch.cpp
@@ -8,6 +8,13 @@
 constexpr std::size_t max_open_requests = 32;  // per connection, as defined by the protocol
 constexpr std::size_t max_unwritten_lines = 128;  // for a client that does not read its answers
 
+std::size_t allocated_bytes(const jsonrpc::Message& message) {
+  const auto* query = std::get_if<jsonrpc::Query>(&message);
+  const std::size_t text =
+      query == nullptr ? 0 : query->statement.capacity() + query->idempotency_key.capacity();
+  return sizeof(message) + text;
+}
+
 }  // namespace
 
 bool MessageBatch::add(jsonrpc::Message message) {
@@ -64,6 +71,12 @@
   }
 }
 
+std::size_t MessageBatch::allocated_bytes() const {
+  std::size_t bytes = 0;
+  for (const jsonrpc::Message& message : messages_) bytes += platform::allocated_bytes(message);
+  return bytes;
+}
+
 void PendingMessages::push(jsonrpc::Message message, TimePoint received) {
   entries_.push_back({std::move(message), received});
 }
@@ -93,6 +106,12 @@
   return messages;
 }
 
+std::size_t PendingMessages::allocated_bytes() const {
+  std::size_t bytes = 0;
+  for (const Entry& entry : entries_) bytes += sizeof(TimePoint) + platform::allocated_bytes(entry.message);
+  return bytes;
+}
+
 void PendingMessages::add_to(ConnectionLoad& load) const {
   for (const Entry& entry : entries_) {
     const auto* query = std::get_if<jsonrpc::Query>(&entry.message);
--- a/src/platform/message_batch.hpp
+++ b/src/platform/message_batch.hpp
@@ -44,6 +44,8 @@
 
   [[nodiscard]] const std::vector<jsonrpc::Message>& messages() const { return messages_; }
   [[nodiscard]] std::vector<jsonrpc::Message> take_messages() { return std::move(messages_); }
+  /// The memory of the messages.
+  [[nodiscard]] std::size_t allocated_bytes() const;
   [[nodiscard]] const std::optional<jsonrpc::Problem>& problem() const { return problem_; }
   /// The trace ids that other clients' requests have, unless these clients have left in the meantime: they
   /// must be read first. Then resolve_contested() decides.
@@ -84,6 +86,8 @@
   void clear() { entries_.clear(); }
 
   [[nodiscard]] bool is_empty() const { return entries_.empty(); }
+  /// The memory of the messages.
+  [[nodiscard]] std::size_t allocated_bytes() const;
   /// Adds the pending queries to the load of the connection.
   void add_to(ConnectionLoad& load) const;
 
--- a/src/platform/request_handler.cpp
+++ b/src/platform/request_handler.cpp
@@ -99,7 +99,7 @@
     const core::DispatchDecision decision = core::may_dispatch(facts);
     if (decision != core::DispatchDecision::read_client_first)
       return decision == core::DispatchDecision::dispatch;
-    client->read_pending_input_beyond_limit();
+    client->read_until_drained();
   }
 }
 
--- a/src/platform/request_table.hpp
+++ b/src/platform/request_table.hpp
@@ -49,9 +49,12 @@
   /// Whether a request that was not abandoned has this trace id.
   [[nodiscard]] bool is_trace_open(std::uint64_t trace) const { return sessions_by_trace_.contains(trace); }
   /// Whether one more statement of this size fits the limit. A part of the limit is reserved for clients that
-  /// have no other request open.
+  /// have no other request open, and a small part for small statements.
   [[nodiscard]] bool has_capacity_for(std::size_t statement_bytes, bool client_has_open_requests) const {
-    const std::size_t reserve = client_has_open_requests ? max_statement_bytes_ / reserve_divisor : 0;
+    const bool is_small = statement_bytes <= max_small_statement_bytes;
+    const std::size_t reserve = client_has_open_requests ? max_statement_bytes_ / reserve_divisor
+                                : is_small               ? 0
+                                                         : max_statement_bytes_ / small_reserve_divisor;
     const std::size_t needed = statement_bytes + bytes_per_request;
     return statement_bytes_ + requests_.size() * bytes_per_request + needed + reserve <= max_statement_bytes_;
   }
@@ -59,6 +62,8 @@
  private:
   static constexpr std::size_t bytes_per_request = 1024;  // of the records about an open request
   static constexpr std::size_t reserve_divisor = 4;
+  static constexpr std::size_t small_reserve_divisor = 16;
+  static constexpr std::size_t max_small_statement_bytes = std::size_t{16} * 1024;
 
   void close_trace(std::uint64_t trace, core::SessionId session);
 
--- a/tests/incidents/client_input_test.hpp
+++ b/tests/incidents/client_input_test.hpp
@@ -81,6 +81,11 @@
       usual_requests_.push_back({.client = &client, .written = Clock::now()});
     }
   }
+  /// Sends a request from each usual client, from the given trace id on, whose answer is not waited for.
+  void send_held_requests(std::uint64_t trace) {
+    ++last_usual_id_;
+    for (RawClient& client : usual_clients_) client.send_request(last_usual_id_, trace++);
+  }
   /// Lets the engines, the usual clients and the others act for a while.
   void act_for(Clock::duration time, const FrameHandler& on_frame = serve_request) {
     run_until([this, end = Clock::now() + time] { return act(), Clock::now() >= end; }, on_frame);
