The backlog of clients with more input is read by one handler at a time

Cause: a client that waits again while it is read scheduled the backlog once more, besides the handler that was running, so the handlers doubled and the event loop did nothing else; usual requests were up to 6.1 s late beside one client that sent cancels of unknown ids at full speed.

Change: one flag says whether the backlog is scheduled.

Result: FullSpeedClient.* plays one client at full speed with ever new names, health checks, cancels of unknown ids, empty lines and messages of 11,000 fields; the cancels were late before and are in time now, the others held in both.

--- a/src/platform/client_registry.cpp
+++ b/src/platform/client_registry.cpp
@@ -47,7 +47,13 @@
 
 void ClientRegistry::add_to_backlog(std::shared_ptr<Client> client) {
   backlog_.push_back(std::move(client));
-  if (backlog_.size() == 1) boost::asio::post(host_.io(), [this] { read_backlog(); });
+  schedule_backlog();
+}
+
+void ClientRegistry::schedule_backlog() {
+  if (is_backlog_scheduled_ || backlog_.empty()) return;
+  is_backlog_scheduled_ = true;
+  boost::asio::post(host_.io(), [this] { read_backlog(); });
 }
 
 void ClientRegistry::read_backlog() {
@@ -58,7 +64,8 @@
     backlog_.pop_front();
     client->read_from_backlog();
   }
-  if (!backlog_.empty()) boost::asio::post(host_.io(), [this] { read_backlog(); });
+  is_backlog_scheduled_ = false;
+  schedule_backlog();
 }
 
 // The first candidate may have a request on its way; then one more is tried. No further candidates are tried,
--- a/src/platform/client_registry.hpp
+++ b/src/platform/client_registry.hpp
@@ -64,6 +64,7 @@
  private:
   using Clients = std::vector<std::shared_ptr<Client>>;
 
+  void schedule_backlog();
   void read_backlog();
   bool make_room();
   [[nodiscard]] std::shared_ptr<Client> best_to_evict(const std::shared_ptr<Client>& excluded) const;
@@ -78,6 +79,7 @@
   InputAccount input_account_;
   std::map<std::uint64_t, std::shared_ptr<Client>> clients_;  // by number, in order of arrival
   std::deque<std::shared_ptr<Client>> backlog_;  // those with more input than one read takes
+  bool is_backlog_scheduled_ = false;
   std::uint64_t last_number_ = 0;
   std::size_t dropped_bytes_ = 0;
   std::uint64_t rejections_ = 0;
