--- a/src/platform/client.cpp
+++ b/src/platform/client.cpp
@@ -227,11 +227,16 @@
 // A shortage of memory is no fault of the client: its connection and its other requests go on.
 void Client::process(jsonrpc::Query query, TimePoint received) {
   if (ends_when_answered_) {
-    refuse(query, "the connection ends: an incomplete message was refused");
+    put_error(query, jsonrpc::ErrorCode::rejected, "the connection ends: an incomplete message was refused");
+    return;
+  }
+  // Not a refusal, which would promise that the request has had no effect.
+  if (context_.requests.may_have_run_before(query)) {
+    put_error(query, jsonrpc::ErrorCode::failed, "trace: a request with this id may already have run");
     return;
   }
   if (!context_.requests.has_capacity_for(query.statement.size(), !open_requests_.empty())) {
-    refuse(query, "too many bytes in statements of open requests");
+    put_error(query, jsonrpc::ErrorCode::rejected, "too many bytes in statements of open requests");
     return;
   }
   const core::SessionId session = context_.requests.next_session();
@@ -239,8 +244,8 @@
   context_.requests.submit(shared_from_this(), session, std::move(query), received);
 }
 
-void Client::refuse(const jsonrpc::Query& query, std::string_view reason) {
-  jsonrpc::put_error(output_.text(), query.id, jsonrpc::ErrorCode::rejected, reason);
+void Client::put_error(const jsonrpc::Query& query, jsonrpc::ErrorCode code, std::string_view reason) {
+  jsonrpc::put_error(output_.text(), query.id, code, reason);
   output_.append_finished(LineKind::answer);
 }
 
--- a/src/platform/client.hpp
+++ b/src/platform/client.hpp
@@ -157,7 +157,7 @@
   void process(jsonrpc::Query query, TimePoint received);
   void process(const jsonrpc::CancelRequest& cancellation);
   void process(const jsonrpc::HealthCheck& health_check);
-  void refuse(const jsonrpc::Query& query, std::string_view reason);
+  void put_error(const jsonrpc::Query& query, jsonrpc::ErrorCode code, std::string_view reason);
   void put_notice(const jsonrpc::Problem& problem);
   static jsonrpc::Problem memory_problem();
   void reject(const std::vector<jsonrpc::Message>& messages, const jsonrpc::Problem& problem);
--- a/src/platform/engine_dispatch.cpp
+++ b/src/platform/engine_dispatch.cpp
@@ -180,6 +180,7 @@
   std::string frame = request_frame(stream, request, stream.last_progress);
   if (host_.is_tracing()) log_sent(action, stream);
   connections_.attempts().began(stream.id, stream.connection->number());
+  requests_.record_attempt(action.query);
   const core::WriteResult result = stream.connection->send(
       action.channel, stream.id, {std::move(frame), stream.last_progress, facts_as_of});
   if (result == core::WriteResult::failed) {
--- a/src/platform/request_handler.cpp
+++ b/src/platform/request_handler.cpp
@@ -73,6 +73,7 @@
 
 void RequestHandler::abandon(core::SessionId session) {
   if (!requests_.abandon(session)) return;
+  remember_if_executed(*requests_.find(session));
   if (host_.is_tracing()) {
     host_.log().info(
         observe::LogEvent::client_disconnected,
@@ -81,6 +82,22 @@
   host_.dispatch(core::SessionClosed{session});
 }
 
+// An idempotent request may run again.
+void RequestHandler::remember_if_executed(const ClientRequest& request) {
+  const bool is_idempotent = classes_[request.class_index].idempotency == Idempotency::idempotent;
+  if (request.may_have_run && !is_idempotent) executed_.add(request.trace, host_.now());
+}
+
+bool RequestHandler::may_have_run_before(const jsonrpc::Query& query) const {
+  const bool is_idempotent = classes_[query.class_index].idempotency == Idempotency::idempotent;
+  return !is_idempotent && executed_.contains(query.trace, host_.now());
+}
+
+void RequestHandler::record_attempt(core::QueryId query) {
+  ClientRequest* const request = requests_.find(query);
+  if (request != nullptr) request->may_have_run = true;
+}
+
 void RequestHandler::log_cancellation(std::size_t requests) {
   if (host_.is_tracing())
     host_.log().info(observe::LogEvent::request_cancelled, {{Field::requests, requests}});
@@ -112,6 +129,7 @@
   host_.log().answer(action, classes_[action.class_index].name);
   const std::optional<ClientRequest> request = requests_.remove(action.session);
   if (!request || request->abandoned) return;
+  if (action.kind != core::AnswerKind::rejected) remember_if_executed(*request);
   host_.dispatch(core::SessionClosed{action.session});
   if (auto line = answer_line(*request, action)) request->client->answer(request->id, std::move(*line));
 }
--- a/src/platform/request_handler.hpp
+++ b/src/platform/request_handler.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "core/event_dispatcher.hpp"
+#include "executed_requests.hpp"
 #include "platform_host.hpp"
 #include "protocol/jsonrpc/calls.hpp"
 #include "request_table.hpp"
@@ -45,6 +46,9 @@
   [[nodiscard]] bool has_capacity_for(std::size_t statement_bytes, bool client_has_open_requests) const {
     return requests_.has_capacity_for(statement_bytes, client_has_open_requests);
   }
+  /// Whether a query under the same trace id may have had an effect that must not happen twice, although no
+  /// such request is open any more.
+  [[nodiscard]] bool may_have_run_before(const jsonrpc::Query& query) const;
   /// Logs how many requests a client's cancellation matched.
   void log_cancellation(std::size_t requests);
 
@@ -52,6 +56,8 @@
 
   /// Returns null if the request of the query has ended.
   [[nodiscard]] const ClientRequest* find(core::QueryId query) { return requests_.find(query); }
+  /// Records that an attempt of the query is given to a connection.
+  void record_attempt(core::QueryId query);
   /// Whether an attempt of the query may be sent now. Reads its client's input if necessary, which may
   /// abandon requests and close connections.
   [[nodiscard]] bool may_dispatch(core::QueryId query);
@@ -64,11 +70,13 @@
   void answer(const core::Answer& action);
 
  private:
+  void remember_if_executed(const ClientRequest& request);
   void log_submission(const ClientRequest& request, const core::QueryArrived& arrived);
 
   PlatformHost& host_;
   const std::vector<ClassSettings>& classes_;
   RequestTable requests_;
+  ExecutedRequests executed_;  // those that are no longer open
   core::SessionId last_session_ = 0;
 };
 
--- a/tests/incidents/client_input_test.hpp
+++ b/tests/incidents/client_input_test.hpp
@@ -7,15 +7,6 @@
 
 namespace paddlestand::platform::test {
 
-/// A request line of a class whose requests are ordered by key.
-inline std::string load_line(int id, std::uint64_t trace, std::uint64_t key, std::size_t statement_bytes) {
-  char more_params[128];
-  std::snprintf(more_params, sizeof(more_params), ",\"entity\":\"%016llx\",\"nonce\":\"%032llx\"",
-                static_cast<unsigned long long>(key), static_cast<unsigned long long>(trace));
-  const std::string small = RawClient::request_line(id, trace, "load", more_params, 6000);
-  return with_statement(small, statement_bytes);
-}
-
 /// A connection that writes given bytes as fast as the manager reads them, and reads what it is sent.
 class FullSpeedWriter {
  public:
--- a/tests/incidents/input_memory_test.cpp
+++ b/tests/incidents/input_memory_test.cpp
@@ -133,9 +133,10 @@
   }
   /// Reads the answers that have come. Returns whether all slow writers have one.
   bool read_outcomes() {
-    for (SlowWriter& writer : slow_writers_)
+    for (SlowWriter& writer : slow_writers_) {
       if (writer.outcome == "nothing" && writer.client.wire().has_input())
         writer.outcome = writer.client.outcome(1);
+    }
     return count("nothing") == 0;
   }
   [[nodiscard]] std::size_t count(const std::string& outcome) const {
--- a/tests/incidents/large_requests.hpp
+++ b/tests/incidents/large_requests.hpp
@@ -15,6 +15,16 @@
   return line.substr(0, at) + base64(statement) + line.substr(at + small_content.size());
 }
 
+/// A request of a class whose requests are ordered by key.
+inline std::string load_line(int id, std::uint64_t trace, std::uint64_t key, std::size_t statement_bytes,
+                             int request_timeout_ms = 6000) {
+  char more_params[128];
+  std::snprintf(more_params, sizeof(more_params), ",\"entity\":\"%016llx\",\"nonce\":\"%032llx\"",
+                static_cast<unsigned long long>(key), static_cast<unsigned long long>(trace));
+  return with_statement(RawClient::request_line(id, trace, "load", more_params, request_timeout_ms),
+                        statement_bytes);
+}
+
 /// A request with a statement of the given size.
 inline std::string large_request_line(int id, std::uint64_t trace, std::size_t statement_bytes) {
   return with_statement(RawClient::request_line(id, trace), statement_bytes);
--- a/tests/platform/sockets.hpp
+++ b/tests/platform/sockets.hpp
@@ -109,12 +109,17 @@
 /// Listens for connections from a server.
 class Listener {
  public:
-  /// `receive_buffer`: size in bytes for accepted connections; zero for the system default.
-  explicit Listener(int backlog = 64, int receive_buffer = 0) : socket_(::socket(AF_INET, SOCK_STREAM, 0)) {
+  /// `receive_buffer`: size in bytes for accepted connections; zero for the system default. `port`: zero for
+  /// any.
+  explicit Listener(int backlog = 64, int receive_buffer = 0, std::uint16_t port = 0)
+      : socket_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+    const int on = 1;  // another listener may take over the port while connections are open
+    ::setsockopt(socket_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
     if (receive_buffer > 0)
       ::setsockopt(socket_, SOL_SOCKET, SO_RCVBUF, &receive_buffer, sizeof(receive_buffer));
     sockaddr_in address{};
     address.sin_family = AF_INET;
+    address.sin_port = htons(port);
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t size = sizeof(address);
     EXPECT_EQ(::bind(socket_, reinterpret_cast<sockaddr*>(&address), size), 0);
@@ -122,11 +127,16 @@
     EXPECT_EQ(::getsockname(socket_, reinterpret_cast<sockaddr*>(&address), &size), 0);
     port_ = ntohs(address.sin_port);
   }
-  ~Listener() { ::close(socket_); }
+  ~Listener() { close(); }
   Listener(const Listener&) = delete;
   Listener& operator=(const Listener&) = delete;
 
   [[nodiscard]] std::uint16_t port() const { return port_; }
+  /// Refuses further connections; those that were accepted stay.
+  void close() {
+    if (socket_ >= 0) ::close(socket_);
+    socket_ = -1;
+  }
   /// Waits for the next connection. The result is not open if none arrives.
   Wire accept(int wait_ms = client_timeout_ms) const {
     pollfd poll_entry{socket_, POLLIN, 0};
