A new engine process at the address of one that has gone is played in tests

Other operators report work that went to the wrong process or ran twice when a new process came up at an old address.

--- a/tests/incidents/counting_engine.hpp
+++ b/tests/incidents/counting_engine.hpp
@@ -28,8 +28,10 @@
     std::uint64_t number = 0;
     std::set<std::uint64_t> active_attempts;
   };
-  /// `receive_buffer`: size in bytes for each connection; zero for the system default.
-  explicit CountingEngine(int receive_buffer = 0) : listener_(64, receive_buffer) {}
+  /// `receive_buffer`: size in bytes for each connection; zero for the system default. `port`: the port to
+  /// listen at; zero for any.
+  explicit CountingEngine(int receive_buffer = 0, std::uint16_t port = 0)
+      : listener_(64, receive_buffer, port) {}
 
   using FrameHandler = std::function<void(Connection&, const engine_frames::Frame&)>;
 
@@ -60,6 +62,23 @@
   /// The number of requests whose id was used before on the same connection.
   [[nodiscard]] std::size_t reused_ids() const { return reused_ids_; }
 
+  /// The number of commands for requests that this engine never got.
+  [[nodiscard]] std::size_t commands_for_unknown_requests() const { return commands_for_unknown_requests_; }
+
+  /// Gives up the address; the connections stay open.
+  void stop_listening() { listener_.close(); }
+  /// Resets all connections, as the end of the process does.
+  void reset_connections() {
+    for (Connection& candidate : connections_) candidate.peer.wire().reset();
+    connections_.clear();
+  }
+  /// Serves all active attempts.
+  void serve_all_active() {
+    for (Connection& candidate : connections_) {
+      const std::set<std::uint64_t> active = candidate.active_attempts;
+      for (const std::uint64_t id : active) serve(candidate, id);
+    }
+  }
   /// Reads the available input and passes each frame to `on_frame`, after counting requests.
   void poll(const FrameHandler& on_frame) {
     if (Connection accepted(listener_, 0); accepted.peer.is_open()) {
@@ -71,6 +90,7 @@
       while (const auto frame = candidate->peer.next_if_received(ended)) {
         if (is_command(*frame, engine_frames::Command::request)) start_attempt(*candidate, frame->id);
         if (is_command(*frame, engine_frames::Command::cancel)) candidate->active_attempts.erase(frame->id);
+        commands_for_unknown_requests_ += is_for_unknown_request(*frame) ? 1 : 0;
         on_frame(*candidate, *frame);
       }
       candidate = ended ? connections_.erase(candidate) : std::next(candidate);
@@ -94,6 +114,11 @@
   }
 
  private:
+  [[nodiscard]] bool is_for_unknown_request(const engine_frames::Frame& frame) const {
+    const bool is_probe =
+        is_command(frame, engine_frames::Command::ping) || is_command(frame, engine_frames::Command::status);
+    return !is_probe && attempts_started(frame.id) == 0;
+  }
   void start_attempt(Connection& connection, std::uint64_t id) {
     reused_ids_ += connection.peer.request_ids.insert(id).second ? 0 : 1;
     // A duplicate on the same connection also counts as a second attempt.
@@ -109,6 +134,7 @@
   std::uint64_t last_connection_ = 0;
   std::size_t max_concurrent_attempts_ = 0;
   std::size_t reused_ids_ = 0;
+  std::size_t commands_for_unknown_requests_ = 0;
 };
 
 }  // namespace paddlestand::platform::test
