A message that has stalled is refused before any that goes on

A soak of 150 s (32 MB, 1,024 descriptors) showed five sound requests of slow writers refused: half messages whose first bytes came in two reads counted as steady, and were kept over slow writers at their beginning.

Change: who has stalled for 250 ms, or 500 ms after it had gone on, is refused before any that has not.

--- a/src/platform/input_eviction.cpp
+++ b/src/platform/input_eviction.cpp
@@ -5,12 +5,14 @@
 namespace paddlestand::platform {
 namespace {
 
-constexpr Duration min_stall = std::chrono::milliseconds(250);  // slow writers pause between their bytes
+// Slow writers pause between their bytes.
+constexpr Duration min_stall = std::chrono::milliseconds(250);
+constexpr Duration min_stall_after_progress = std::chrono::milliseconds(500);
 
 auto refusal_order(const HeldMessage& message) {
-  const bool is_stalled = message.silence >= min_stall;
-  const Duration stall = is_stalled ? message.silence : Duration{};
-  return std::tuple(message.bytes_per_second, -stall, message.is_from_known_client,
+  const Duration limit = message.bytes_per_second > 0 ? min_stall_after_progress : min_stall;
+  const Duration stall = message.silence >= limit ? message.silence : Duration{};
+  return std::tuple(-stall, message.bytes_per_second, message.is_from_known_client,
                     -static_cast<std::ptrdiff_t>(message.bytes));
 }
 
--- a/src/platform/input_eviction.hpp
+++ b/src/platform/input_eviction.hpp
@@ -17,9 +17,9 @@
   bool is_from_known_client = false;  ///< one that has sent a valid message before
 };
 
-/// Whether `a` is refused before `b`. The message of the slowest sender is refused first, so that slow but
-/// steady ones come last. Of those who have not gone on at all, the one that has stalled for longest comes
-/// first, then clients that have never sent a valid message, then the largest message.
+/// Whether `a` is refused before `b`. The one that has stalled for longest is refused first, then that of the
+/// slowest sender, so that slow but steady ones come last. Of those who have not gone on yet, clients that
+/// have never sent a valid message come first, then the largest message.
 [[nodiscard]] bool is_refused_before(const HeldMessage& a, const HeldMessage& b);
 
 }  // namespace paddlestand::platform
