The tests of clients' input compile with the sanitizers

The check of the memory limit is left out under the sanitizers, as in the other tests over processes, and its parameter is then unused, which is an error there. Found by a build with the sanitizers; no check changed.

--- a/tests/incidents/client_input_test.hpp
+++ b/tests/incidents/client_input_test.hpp
@@ -89,7 +89,7 @@
       EXPECT_LE(request.took, usual_timeout);
     }
   }
-  void expect_within_memory_limit(std::size_t memory_mb) {
+  void expect_within_memory_limit([[maybe_unused]] std::size_t memory_mb) {
     RecordProperty("peak_memory_kb", std::to_string(manager().peak_memory_kb()));
 #ifndef __SANITIZE_ADDRESS__  // sanitizers use many times the memory
     EXPECT_LE(manager().peak_memory_kb(), memory_mb * 1024);
