Charges share the account of clients' input; who waits to be read is not stalled

A build with the sanitizers showed a use after free at the end of a server: a connection that its own coroutine still held released its charge after the registry had gone. The charge now shares the account.

By reading: a read that reached its 1 ms after all input had come went to the backlog, behind every client that floods, and a client that waited there counted as stalled. Now only who filled the buffer waits in the backlog, and who waits there is not stalled. Before a send, a client is still read until nothing is left.

--- a/src/platform/client.cpp
+++ b/src/platform/client.cpp
@@ -151,7 +151,7 @@
   const bool has_to_wait = is_processing_messages_;
   if (batch.problem()) {
     reject(batch.messages(), *batch.problem());
-  } else if (has_to_wait && !context_.registry.input_account().has_room_for(batch.allocated_bytes())) {
+  } else if (has_to_wait && !context_.registry.input_account()->has_room_for(batch.allocated_bytes())) {
     reject(batch.messages(), memory_problem());
   } else {
     enqueue(batch.take_messages());
@@ -165,7 +165,7 @@
 // Whether the trace ids are still in use is known only once the clients that used them have been read. They
 // are read in a turn of its own, since their input may in turn depend on other clients.
 void Client::postpone(MessageBatch batch) {
-  if (!context_.registry.input_account().has_room_for(batch.allocated_bytes())) {
+  if (!context_.registry.input_account()->has_room_for(batch.allocated_bytes())) {
     reject(batch.messages(), memory_problem());
     return;
   }
--- a/src/platform/client_input.cpp
+++ b/src/platform/client_input.cpp
@@ -80,7 +80,9 @@
 void Client::read_until_drained() {
   const auto self = shared_from_this();
   const ReceivedTotals before = received_;
-  while (!is_closed() && read_input() == InputStatus::more_available) {
+  while (!is_closed() && !postponed_) {
+    read_input();
+    if (last_receive_ != IoStatus::progress) return;
     if (received_.bytes - before.bytes < max_unread_bytes &&
         received_.messages - before.messages < max_unread_messages) {
       continue;
@@ -115,7 +117,9 @@
   if (is_open() && progress.batch) accept(std::move(*progress.batch));
   process_pending_messages();
   if (is_closed()) return InputStatus::ended;
-  return last.status == IoStatus::progress ? InputStatus::more_available : InputStatus::drained;
+  // After less than was asked for, nothing is left as a rule, and what is left is reported by the next wait.
+  const bool is_filled = last.status == IoStatus::progress && last.bytes == max_bytes_per_call;
+  return is_filled ? InputStatus::more_available : InputStatus::drained;
 }
 
 IoResult Client::receive_available(ReadProgress& progress) {
@@ -170,7 +174,7 @@
 HeldMessage Client::held_message(TimePoint now) const {
   return {.bytes = lines_.allocated_bytes(),
           .bytes_per_second = partial_message_.bytes_per_second(now),
-          .silence = now - last_received_,
+          .silence = in_backlog_since_ ? Duration{} : now - last_received_,
           .is_from_known_client = has_sent_message_};
 }
 
--- a/src/platform/client_registry.cpp
+++ b/src/platform/client_registry.cpp
@@ -36,7 +36,7 @@
     : host_(host),
       context_{host, requests, *this, calls, lifecycle},
       limits_(limits),
-      input_account_(limits.max_input_bytes) {}
+      input_account_(std::make_shared<InputAccount>(limits.max_input_bytes)) {}
 
 void ClientRegistry::accept(tcp::socket socket, Duration accept_delay) {
   if (clients_.size() >= limits_.max_clients && !make_room()) return;  // destroys, and so closes, the socket
@@ -99,7 +99,7 @@
 }
 
 void ClientRegistry::make_room_for_input() {
-  while (input_account_.excess() > 0) {
+  while (input_account_->excess() > 0) {
     const std::shared_ptr<Client> client = next_to_refuse();
     if (client == nullptr) return;
     log_backlog(*client, client->buffered_bytes(), "incomplete message refused");
--- a/src/platform/client_registry.hpp
+++ b/src/platform/client_registry.hpp
@@ -45,7 +45,7 @@
   // ---- For connections ----
 
   void remove(const Client& client) { clients_.erase(client.number()); }
-  [[nodiscard]] InputAccount& input_account() { return input_account_; }
+  [[nodiscard]] const std::shared_ptr<InputAccount>& input_account() const { return input_account_; }
   /// Refuses incomplete messages until the memory of clients' input is within its limit.
   void make_room_for_input();
   /// Whether one more line of this size may be held for a client that has not read its earlier ones.
@@ -76,7 +76,7 @@
   PlatformHost& host_;
   ClientContext context_;
   ResourceLimits limits_;
-  InputAccount input_account_;
+  std::shared_ptr<InputAccount> input_account_;
   std::map<std::uint64_t, std::shared_ptr<Client>> clients_;  // by number, in order of arrival
   std::deque<std::shared_ptr<Client>> backlog_;  // those with more input than one read takes
   bool is_backlog_scheduled_ = false;
--- a/src/platform/input_account.hpp
+++ b/src/platform/input_account.hpp
@@ -4,6 +4,8 @@
 #pragma once
 
 #include <cstddef>
+#include <memory>
+#include <utility>
 
 namespace paddlestand::platform {
 
@@ -23,23 +25,24 @@
   std::size_t used_ = 0;
 };
 
-/// What one client is charged with; nothing any more once it is destroyed. The account must outlive it.
+/// What one client is charged with; nothing any more once it is destroyed. It shares the account, since
+/// connections may outlive their registry at the end of the process.
 class InputCharge {
  public:
-  explicit InputCharge(InputAccount& account) : account_(account) {}
+  explicit InputCharge(std::shared_ptr<InputAccount> account) : account_(std::move(account)) {}
   ~InputCharge() { set(0); }
   InputCharge(const InputCharge&) = delete;
   InputCharge& operator=(const InputCharge&) = delete;
 
   /// Replaces the charge.
   void set(std::size_t bytes) {
-    account_.used_ += bytes;
-    account_.used_ -= bytes_;
+    account_->used_ += bytes;
+    account_->used_ -= bytes_;
     bytes_ = bytes;
   }
 
  private:
-  InputAccount& account_;
+  std::shared_ptr<InputAccount> account_;
   std::size_t bytes_ = 0;
 };
 
--- a/tests/platform/input_account_test.cpp
+++ b/tests/platform/input_account_test.cpp
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <memory>
 #include <vector>
 
 #include "platform/input_eviction.hpp"
@@ -19,20 +20,20 @@
 using platform::PartialMessage;
 
 TEST(InputAccount, CountsWhatAllClientsAreChargedWith) {
-  InputAccount account(1000);
+  const auto account = std::make_shared<InputAccount>(1000);
   InputCharge first(account);
   {
     InputCharge second(account);
     first.set(400);
     second.set(500);
-    EXPECT_EQ(account.used(), 900U);
-    EXPECT_TRUE(account.has_room_for(100));
-    EXPECT_FALSE(account.has_room_for(101));
+    EXPECT_EQ(account->used(), 900U);
+    EXPECT_TRUE(account->has_room_for(100));
+    EXPECT_FALSE(account->has_room_for(101));
     second.set(700);
-    EXPECT_EQ(account.excess(), 100U);
+    EXPECT_EQ(account->excess(), 100U);
   }
-  EXPECT_EQ(account.used(), 400U);
-  EXPECT_EQ(account.excess(), 0U);
+  EXPECT_EQ(account->used(), 400U);
+  EXPECT_EQ(account->excess(), 0U);
 }
 
 TEST(InputEviction, RefusesTheLongestStalledFirstAndThenTheSlowestAndThenTheLargest) {
