The backlog has as long in a turn of the event loop as all else

The soak under the sanitizers (32 MB, 1,024 descriptors) still failed in the case that it had failed in before: new connections of sound clients ended unread. The backlog had 2 ms in a turn, however long the turn was, so connections that had closed with much unread piled up to the limit of connections.

Change: the backlog has as much time as all else took since it was last read, 2 to 50 ms.

--- a/src/platform/client_registry.cpp
+++ b/src/platform/client_registry.cpp
@@ -16,7 +16,10 @@
 constexpr auto sending_pause = std::chrono::seconds(1);  // between the bytes of a message
 constexpr auto non_reader_timeout = std::chrono::seconds(1);
 constexpr std::ptrdiff_t max_looked_at = 8;  // incomplete messages
-constexpr Duration max_backlog_time = std::chrono::milliseconds(2);  // per turn of the event loop
+// The time for the backlog in one turn of the event loop: as much as all else took since the last one, within
+// these.
+constexpr Duration min_backlog_time = std::chrono::milliseconds(2);
+constexpr Duration max_backlog_time = std::chrono::milliseconds(50);
 
 /// Sort key of eviction: lingering connections first, then those without a message yet, then the least
 /// recently used.
@@ -57,13 +60,15 @@
 }
 
 void ClientRegistry::read_backlog() {
-  const TimePoint end = host_.now() + max_backlog_time;
+  const TimePoint began = host_.now();
+  const TimePoint end = began + std::clamp(began - backlog_read_at_, min_backlog_time, max_backlog_time);
   const std::size_t waiting = backlog_.size();
   for (std::size_t i = 0; i < waiting && host_.now() < end; ++i) {
     const std::shared_ptr<Client> client = std::move(backlog_.front());
     backlog_.pop_front();
     client->read_from_backlog();
   }
+  backlog_read_at_ = host_.now();
   is_backlog_scheduled_ = false;
   schedule_backlog();
 }
--- a/src/platform/client_registry.hpp
+++ b/src/platform/client_registry.hpp
@@ -80,6 +80,7 @@
   std::map<std::uint64_t, std::shared_ptr<Client>> clients_;  // by number, in order of arrival
   std::deque<std::shared_ptr<Client>> backlog_;  // those with more input than one read takes
   bool is_backlog_scheduled_ = false;
+  TimePoint backlog_read_at_{};  // when it was last read
   std::uint64_t last_number_ = 0;
   std::size_t dropped_bytes_ = 0;
   std::uint64_t rejections_ = 0;
